Take only the first of two answers that a backend writes to one request

Body, headers and status of whatever followed in the same bytes went into the client's answer. sev5487: answers that no backend made 71 and 71 in two plays before, 0 after; score 0.00 to 0.77.

--- a/embersill/net/backends.py
+++ b/embersill/net/backends.py
@@ -90,7 +90,7 @@
 
     def start_answer(self) -> None:
         self.parts: list[bytes] = []
-        self.size, self.units, self.headers = 0, 0.0, b""
+        self.size, self.units, self.headers, self.status = 0, 0.0, b"", 0
         self.rejected = self.complete = self.keep = self.surplus = self.garbled = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -130,6 +130,8 @@
         self.surplus = self.surplus or self.complete
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if self.complete:
+            return  # of a surplus message: the answer to the attempt stands
         name = name.lower()
         if name == b"x-rejected":
             self.rejected = value.strip() == b"1"
@@ -139,13 +141,16 @@
             self.headers += b"%b: %b\r\n" % (name.title(), value)
 
     def on_body(self, body: bytes) -> None:
+        if self.complete:
+            return
         self.size += len(body)
         if self.size <= MOST_BODY:
             self.parts.append(body)
 
     def on_message_complete(self) -> None:
-        if not 100 <= self.parser.get_status_code() < 200:  # an interim answer goes before the real one
-            self.complete = True
+        status = self.parser.get_status_code()
+        if not (self.complete or 100 <= status < 200):  # an interim answer goes before the real one
+            self.complete, self.status = True, status
             self.keep = self.parser.should_keep_alive()  # the parser knows only while in this call
 
     # what the transport tells
@@ -165,8 +170,7 @@
             attempt.end(Answer(Outcome.BROKEN))
 
     def finish(self, attempt: Attempt) -> None:
-        status = self.parser.get_status_code()
-        whole = self.size <= MOST_BODY
+        status, whole = self.status, self.size <= MOST_BODY
         # the connection is free before anybody hears of the answer: the next attempt may want it
         reuse = whole and self.keep
         if reuse and not (self.unsent or self.surplus or self.garbled):
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -87,6 +87,19 @@
     run(test)
 
 
+@pytest.mark.parametrize("second", [
+    message(200, b"x"), message(200, b"y"), message(500, b"", "X-Rejected: 1"),
+])
+def test_of_two_answers_to_one_request_the_first_counts_alone(second: bytes) -> None:
+    async def test() -> None:
+        async with sending(says(message(200, b"x", "Billed-Units: 3") + second)) as (sender, peer):
+            answer = await sender.start()[1]
+            assert (answer.outcome, answer.body, answer.units) == (Outcome.SERVED, b"x", 3.0)
+            assert await sender.outcome() is Outcome.SERVED and peer.connections == 2
+
+    run(test)
+
+
 @pytest.mark.parametrize("step", [
     cuts, says(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab", close=True), says(b"", close=True),
     says(b"HTTP/1.1 200 OK\r\n\r\nab", close=True),
