--- a/embersill/__main__.py
+++ b/embersill/__main__.py
@@ -153,6 +153,8 @@
         if self.following is not None:
             self.following.cancel()
             self.discovery.drop()
+        self.driver.report()
+        self.driver.reporter.cancel()
         self.pool.close()
         if self.driver.counter is not None:
             self.driver.counter.close()
@@ -163,7 +165,7 @@
 
 
 def main() -> int:
-    logging.basicConfig(format="%(name)s: %(message)s", level=logging.WARNING)
+    logging.basicConfig(format="%(name)s: %(message)s", level=logging.INFO)
     try:
         told = read_configuration(dict(os.environ))
     except BadConfiguration as error:
--- a/embersill/control.py
+++ b/embersill/control.py
@@ -4,7 +4,7 @@
 
 import random
 import zlib
-from collections import deque
+from collections import Counter, deque
 
 from embersill.interface import (
     Action, AttemptEnded, Backend, BackendList, Cancel, ClientLeft, Count, Counted, Event, Fail, ListKind,
@@ -167,6 +167,7 @@
         self.random = random.Random(seed)
         self.born = self.now = now
         self.actions: list[Action] = []
+        self.given_up: Counter[str] = Counter()  # requests this gateway ended itself, by reason
         self.servers: dict[str, Server] = {}
         self.order: list[Server] = []  # those that serve, for drawing
         self.drawn: Server | None = None  # the cold backend that the draw has let through
@@ -208,6 +209,7 @@
             return
         klass, plan = self.classes.get(request.klass), self.plans.get(request.plan)
         if klass is None or plan is None or request.deadline <= self.now:
+            self.given_up["unknown or late"] += 1
             return self.actions.append(Refuse(request.id, 0.0))
         throttle = self.throttles.get(request.customer) or self.join(request, plan)
         self.jobs[request.id] = job = Job(request, klass, throttle, self.now)
@@ -221,7 +223,7 @@
         else:
             self.start_counting(throttle)
         if job.counted < 0 and not job.trusted:
-            return self.answer(job, PERIOD)
+            return self.answer(job, PERIOD, "uncounted")
         free = not throttle.queue and throttle.has_open() and not throttle.asking
         if free and (job.trusted or throttle.wait(units) <= 0):
             throttle.level -= units if plan.rate > 0 else 0.0
@@ -232,7 +234,7 @@
         if throttle.plan.rate > 0:
             behind = max(behind, (min(units, throttle.bank) - throttle.level) / throttle.rate)
         if behind > bound and not throttle.asking:
-            return self.answer(job, behind)
+            return self.answer(job, behind, "over quota")
         throttle.queue.append(job)
         throttle.held += units
         throttle.level -= units
@@ -244,7 +246,7 @@
         throttle.unhold(job)
         throttle.level += job.request.units
         self.take_back(job)
-        self.answer(job, throttle.wait(job.request.units))
+        self.answer(job, throttle.wait(job.request.units), "held in vain")
 
     def release(self, throttle: Throttle) -> None:
         """Lets go what the credit covers, turns away what waited too long, and sets the next exact timer."""
@@ -433,11 +435,10 @@
 
     def place(self, job: Job) -> None:
         """Finds a backend for a request that has its credit, or turns it away."""
-        server = None if not job.attempts and self.pressed(job) else self.choose(job)
-        if server is None:
-            self.give_up(job)
-        else:
-            self.send(job, server)
+        if not job.attempts and self.pressed(job):
+            return self.give_up(job, "pressed")
+        server = self.choose(job)
+        return self.give_up(job, "no backend") if server is None else self.send(job, server)
 
     def choose(self, job: Job) -> Server | None:
         """The better of two that are drawn; more replace the unfit, and those that failed unless all did."""
@@ -492,12 +493,12 @@
         self.passed *= (PASS_LESS if late else PASS_MORE) ** weight
         self.passed = min(max(self.passed, LEAST_PART), 1.0)
 
-    def give_up(self, job: Job) -> None:
+    def give_up(self, job: Job, why: str) -> None:
         throttle = job.throttle
         if throttle.plan.rate > 0 and not job.attempts:
             throttle.level = min(throttle.level + job.request.units, throttle.bank - throttle.held)
             self.take_back(job)
-        self.answer(job, PERIOD)
+        self.answer(job, PERIOD, why)
 
     def may_send(self, job: Job, server: Server) -> bool:
         """The rules for one more attempt, each checked here and nowhere else."""
@@ -522,7 +523,7 @@
     def send(self, job: Job, server: Server) -> None:
         """The one place where an attempt starts."""
         if not self.may_send(job, server):
-            return self.give_up(job)
+            return self.give_up(job, "no backend")
         if not job.attempts:
             job.throttle.cap -= job.request.units if job.throttle.plan.ceiling_rate > 0 else 0.0
             self.retry_credit = min(self.retry_credit + RETRY_SHARE, RETRY_STORE)
@@ -591,7 +592,7 @@
             self.retry_credit -= 0.0 if free else 1.0
             self.place(job)
         else:
-            self.answer(job, PERIOD)
+            self.answer(job, PERIOD, f"after {outcome.value}")
 
     def learn(self, job: Job, attempt: Attempt, event: AttemptEnded) -> None:
         server, outcome = attempt.server, event.outcome
@@ -619,11 +620,12 @@
         return None
 
 
-    def answer(self, job: Job, retry_after: float) -> None:
+    def answer(self, job: Job, retry_after: float, why: str) -> None:
         """The one place where the gateway ends a request; refuses only where a retry is proven harmless."""
         if job.ended or job.streaming:
             return
         job.ended = True
+        self.given_up[why] += 1
         keyed = job.klass.repeats is Repeats.BY_KEY and job.klass.scope is Scope.ALL
         harmless = keyed or job.klass.repeats is Repeats.SAFE
         if job.risky is not None and not harmless:
--- a/embersill/net/driver.py
+++ b/embersill/net/driver.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+from collections import Counter as Tally
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -25,6 +26,7 @@
 EARLY = 0.1  # seconds before the client's end at which the module takes a request to be over: the budget
 # runs from the client's send, the answer has its way back, and the core may be busy with another gateway
 GUARD = 0.05  # seconds before the client's end at which an unanswered request is failed by the guard
+REPORT_EVERY = 10.0  # seconds between lines of figures in the log: one bad stretch shows, and few bytes come
 SCANT = 0.25  # of the budget, at most, that these two may take
 
 log = logging.getLogger("embersill")
@@ -80,6 +82,8 @@
         self.serving: set[str] = set()  # backends that the list shows as serving
         self.events: deque[tuple[Event, float]] = deque()
         self.handling = False
+        self.tally: Tally[str] = Tally()  # what ended since the last report, by kind and how
+        self.reporter = self.loop.call_later(REPORT_EVERY, self.report)
         self.carry: dict[type, Callable[..., None]] = {
             Send: self.send, SetTimer: self.set_timer, Refuse: self.refuse, Fail: self.fail,
             Cancel: self.cancel, Count: self.count,
@@ -104,6 +108,7 @@
     def client_left(self, number: int) -> None:
         pending = self.pending.get(number)
         if pending is not None and not pending.over:
+            self.tally["client left"] += 1
             self.finish(pending)
             self.post(ClientLeft(number))
 
@@ -125,6 +130,7 @@
         self.post(BackendList(listing.kind, tuple(backends)))
 
     def counter_told(self, counted: Counted) -> None:
+        self.tally[f"counter {counted.outcome.value}"] += 1
         self.post(counted)
 
     def timer_due(self, key: str, due: float) -> None:
@@ -133,6 +139,7 @@
 
     def attempt_ended(self, pending: Pending, place: int, attempt: Attempt, answer: Answer) -> None:
         pending.out -= 1
+        self.tally[f"attempt {answer.outcome.value}"] += 1
         if answer.outcome is Outcome.SERVED and not pending.over:
             self.finish(pending, 200, answer.body, answer.headers)
         elapsed = self.clock() - attempt.sent_at
@@ -224,6 +231,7 @@
         if pending.guard is not None:
             pending.guard.cancel()
         if status:
+            self.tally[f"answer {status}"] += 1
             pending.exchange.answer(status, body, headers)
         for attempt in pending.attempts:
             if not (attempt.ended or attempt.written):  # it must not be written for a request that is over
@@ -241,6 +249,16 @@
             self.post(ClientLeft(pending.number))
             self.forget(pending)
 
+    def report(self) -> None:
+        """One line of figures for the operator: what ended since the last one, how, and what is open."""
+        self.reporter = self.loop.call_later(REPORT_EVERY, self.report)
+        figures = self.tally + Tally({f"gave up {why}": n for why, n in self.gateway.given_up.items()})
+        if figures:
+            text = ", ".join(f"{name} {number}" for name, number in sorted(figures.items()))
+            log.info("%s; open %d, serving backends %d", text, self.unanswered, len(self.serving))
+        self.tally.clear()
+        self.gateway.given_up.clear()
+
     def rescue_all(self) -> None:
         for pending in list(self.pending.values()):
             self.rescue(pending)
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -157,3 +157,21 @@
             assert bed.counter.calls[0][1] == 3.0
 
     run(test)
+
+
+def test_the_log_tells_how_requests_ended_and_why_some_were_refused(caplog: pytest.LogCaptureFixture) -> None:
+    async def test() -> None:
+        env = roomy_settings()
+        env["packages"][0].update(peak_units=16.0, units_per_s=0.001)
+        async with running(env=env) as bed:
+            client = await bed.client()
+            for number in range(3):
+                await client.ask(request(number, units="8"))
+            with caplog.at_level("INFO", logger="embersill"):
+                bed.program.driver.report()
+                bed.program.driver.report()  # nothing since: no line
+            assert caplog.messages == [
+                "answer 200 1, answer 429 2, attempt served 1, gave up over quota 2; "
+                "open 0, serving backends 1"]
+
+    run(test)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -135,7 +135,8 @@
             assert (await held.answer())[0] == 200 and await held.closed()
             async with asyncio.timeout(SOON):
                 assert await child.wait() == 0
-            assert await child.stderr.read() == b""
+            log = (await child.stderr.read()).decode().splitlines()
+            assert len(log) == 1 and "answer 200 3, attempt served 3; open 0" in log[0]
 
     run(test)
 
