Read counter totals strictly and drop a connection that gave no number

A total of nan or inf was taken for a number: it made the customer's level nan, which let all or none of its requests through from then on and broke off the handling of an event.

--- a/embersill/net/counter.py
+++ b/embersill/net/counter.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import math
+import re
 import zlib
 from collections import deque
 from collections.abc import Callable
@@ -14,6 +16,7 @@
 
 LINES = 4  # connections: names are dealt out over them, so that one slow part holds up fewer of the others
 SILENT_AFTER = 10.0  # times the patience that the first in line may wait before its connection is given up
+TOTAL = re.compile(rb"[+-]?\d{1,30}(\.\d{0,30})?([eE][+-]?\d{1,3})?")  # float() takes more: nan, 1_0
 IDLE_LIMIT = 3.0  # seconds unused after which a line is opened anew: the counter closes idle ones unannounced
 
 
@@ -38,6 +41,7 @@
         self.reader = hiredis.Reader()
         self.used = counter.clock()
         self.unsent = self.dead = False
+        self.half = False  # a reply has begun that is not complete
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is one in all but its bases
@@ -75,11 +79,16 @@
 
     def data_received(self, data: bytes) -> None:
         self.reader.feed(data)
+        self.half = True
         try:
             while (reply := self.reader.gets()) is not False:
                 if not self.written:
                     return self.close()  # an answer to nothing: what follows can't be matched either
-                self.counter.answered(self.written.popleft(), *read_reply(reply))
+                self.half = self.reader.has_data()
+                outcome, total = read_reply(reply)
+                self.counter.answered(self.written.popleft(), outcome, total)
+                if outcome is Outcome.TIMED_OUT:
+                    return self.close()  # by the terms, a connection that gave no number is of no further use
         except hiredis.ProtocolError:
             self.close()
 
@@ -109,11 +118,13 @@
 def read_reply(reply: object) -> tuple[Outcome, float]:
     """A reply as outcome and total. The module takes all but a time-out as proof that nothing was added."""
     if isinstance(reply, hiredis.ReplyError):
-        return Outcome.TURNED_AWAY if str(reply).startswith("BUSY") else Outcome.ERROR, 0.0
-    try:
-        return Outcome.SERVED, float(reply)  # type: ignore[arg-type]
-    except (TypeError, ValueError):
-        return Outcome.TIMED_OUT, 0.0  # neither a total nor an error: it may have been added
+        kind = str(reply).partition(" ")[0]
+        known = {"BUSY": Outcome.TURNED_AWAY, "ERR": Outcome.ERROR}
+        return known.get(kind, Outcome.TIMED_OUT), 0.0
+    text = b"%d" % reply if isinstance(reply, int) and not isinstance(reply, bool) else reply
+    if isinstance(text, bytes) and TOTAL.fullmatch(text) and math.isfinite(total := float(text)):
+        return Outcome.SERVED, total
+    return Outcome.TIMED_OUT, 0.0  # neither a total nor an error: it may have been added
 
 
 class Counter:
@@ -158,6 +169,8 @@
     def out_of_patience(self, call: CounterCall) -> None:
         line = next((x for x in self.lines if x is not None and call in x.written), None)
         self.answered(call, Outcome.NO_CONNECTION if line is None else Outcome.TIMED_OUT, 0.0)
+        if line is not None and line.half:
+            line.close()  # the rest of a broken reply would swallow the answers behind it
 
     def answered(self, call: CounterCall, outcome: Outcome, total: float) -> None:
         if call.told:
--- a/tests/test_counter.py
+++ b/tests/test_counter.py
@@ -89,6 +89,15 @@
     (b"-ERR no such call\r\n", Outcome.ERROR),
     (b"+OK\r\n", Outcome.TIMED_OUT),
     (b"rubbish\r\n", Outcome.TIMED_OUT),
+    (b"-LOADING not yet\r\n", Outcome.TIMED_OUT),
+    (b"$3\r\nnan\r\n", Outcome.TIMED_OUT),
+    (b"$4\r\n-inf\r\n", Outcome.TIMED_OUT),
+    (b"$5\r\n1e999\r\n", Outcome.TIMED_OUT),
+    (b"$3\r\n1_0\r\n", Outcome.TIMED_OUT),
+    (b"$0\r\n\r\n", Outcome.TIMED_OUT),
+    (b"$-1\r\n", Outcome.TIMED_OUT),
+    (b"*1\r\n$1\r\n1\r\n", Outcome.TIMED_OUT),
+    (b"#t\r\n", Outcome.TIMED_OUT),
 ])
 def test_replies_that_are_no_total(reply: bytes, outcome: Outcome) -> None:
     async def test() -> None:
@@ -102,6 +111,34 @@
     run(test)
 
 
+@pytest.mark.parametrize(("reply", "total"), [
+    (b":7\r\n", 7.0), (b"$6\r\n-2.500\r\n", -2.5), (b"$7\r\n1.5e+03\r\n", 1500.0),
+])
+def test_a_total_that_can_be_read_is_taken(reply: bytes, total: float) -> None:
+    async def test() -> None:
+        async with calling() as (counter, told, peer):
+            peer.say = [reply]
+            counter.add("c1.7", 1.0, 4.0)
+            assert await told.next() == ("c1.7", Outcome.SERVED, total)
+
+    run(test)
+
+
+@pytest.mark.parametrize("reply", [b"$3\r\nnan\r\n", b"$90\r\n", b"*2\r\n", b"$-9\r\n"])
+def test_a_connection_that_gave_no_number_is_not_used_again(reply: bytes) -> None:
+    # what was begun there would take the next answers for its own rest
+    async def test() -> None:
+        async with calling(0.05) as (counter, told, peer):
+            peer.say = [reply]
+            counter.add("c1.7", 1.0, 4.0)
+            assert (await told.next())[1] is Outcome.TIMED_OUT
+            counter.patience = 5.0
+            counter.add("c1.7", 1.0, 4.0)
+            assert await told.next() == ("c1.7", Outcome.SERVED, 2.0) and peer.connections == 2
+
+    run(test)
+
+
 def test_a_call_that_was_written_when_its_connection_broke_may_have_been_added() -> None:
     async def test() -> None:
         async with calling() as (counter, told, peer):
