End a request that does not come whole within 2 s, or never comes

Peers that sent nothing, or half a request, held their descriptors for 5 s and more, or for ever if they dropped a byte now and then.

--- a/embersill/__main__.py
+++ b/embersill/__main__.py
@@ -150,6 +150,7 @@
             self.driver.rescue_all()
         self.front.close_idle()
         await self.front.wait_drained(LAST_BYTES)
+        self.front.close()
         if self.following is not None:
             self.following.cancel()
             self.discovery.drop()
--- a/embersill/net/clients.py
+++ b/embersill/net/clients.py
@@ -23,6 +23,8 @@
 PIECE = 8192  # bytes given to the parser at a time: so many small requests at most go past that bound
 SETTLED = 0.1  # seconds unused from which a connection may make way: its next request may be here unread
 STALLED = 5.0  # seconds without a byte from which a half-sent request may lose its place to another client
+READ_WITHIN = 2.0  # seconds for a request to come whole, the first from the connect on: the terms give 3
+LOOK_EVERY = 0.25  # seconds between looks for requests that did not
 LINGER = 1.0  # seconds for a peer to read an error answer before its connection goes
 BACKLOG = 1024
 ACCEPT_AGAIN = 0.02  # seconds until the next try where no descriptor was left for a connection
@@ -37,7 +39,7 @@
 SINGLE = frozenset((b"x-call-id", b"x-call-class", b"plan", b"x-budget", b"idempotency-key", b"quota-info",
                     b"x-again", b"content-length", b"host"))
 REASONS = {
-    200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
+    200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout",
     413: b"Content Too Large", 417: b"Expectation Failed", 429: b"Too Many Requests",
     431: b"Request Header Fields Too Large", 502: b"Bad Gateway", 503: b"Service Unavailable",
     504: b"Gateway Timeout",
@@ -162,7 +164,8 @@
         self.transport: asyncio.Transport | None = None
         self.exchanges: deque[Exchange] = deque()
         self.parser = httptools.HttpRequestParser(self)
-        self.idle_since = front.clock()
+        self.idle_since = self.awaited = front.clock()  # awaited: since when a whole request is
+        self.asked = False  # a whole request came
         self.received = 0.0
         self.unread = b""
         self.paused = self.ended = self.closing = self.stuck = self.parsing = False
@@ -183,6 +186,8 @@
 
     def on_message_begin(self) -> None:
         self.start_request()
+        if self.asked:
+            self.awaited = self.received
         self.in_request = self.in_head = True
         self.head_size = 0  # pieces end in the midst of many heads: each has the whole bound
 
@@ -214,6 +219,7 @@
         self.in_request = False
         if self.ended:
             return
+        self.asked = True
         keep = self.parser.should_keep_alive() and self.parser.get_http_version() == "1.1"
         exchange = Exchange(self, keep)
         self.exchanges.append(exchange)
@@ -287,6 +293,16 @@
         self.exchanges.append(exchange)
         exchange.answer(status, f"{text}\n".encode())
 
+    def hurry(self, now: float) -> None:
+        """Ends the wait for a request that does not come whole, or never comes, by an error or a close."""
+        if self.exchanges or self.closing or self.unread or now - self.awaited <= READ_WITHIN:
+            return
+        if self.in_request:
+            self.break_off(408, "the request did not come whole")
+        elif not self.asked and self.transport is not None:
+            self.closing = True
+            self.transport.close()
+
     def is_full(self) -> bool:
         return self.stuck or len(self.exchanges) >= MOST_PIPELINED
 
@@ -394,6 +410,13 @@
         self.listener: socket.socket | None = None
         self.again: asyncio.TimerHandle | None = None
         self.stopping = False
+        self.looker = self.loop.call_later(LOOK_EVERY, self.look)
+
+    def look(self) -> None:
+        self.looker = self.loop.call_later(LOOK_EVERY, self.look)
+        now = self.clock()
+        for connection in list(self.connections):
+            connection.hurry(now)
 
     def is_ready(self) -> bool:
         return not self.stopping and self.serves()
@@ -467,6 +490,9 @@
                 self.listener.close()
                 self.listener = None
 
+    def close(self) -> None:
+        self.looker.cancel()
+
     async def wait_drained(self, at_most: float) -> None:
         """Waits until the kernel has every answer, but not for ever on a client that reads nothing."""
         end = self.clock() + at_most
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from embersill.net.clients import MOST_BODY, MOST_HEAD, STALLED
+from embersill.net.clients import MOST_BODY, MOST_HEAD, READ_WITHIN, STALLED
 from tests.bed import READY, Bed, Client, request, roomy_settings, run, running
 from tests.peers import SOON, Asked, message, serve
 
@@ -205,6 +205,7 @@
 def test_half_sent_requests_make_way_for_clients_that_ask() -> None:
     async def test(bed: Bed, client: Client) -> None:
         front, now = bed.program.front, bed.program.front.clock()
+        front.looker.cancel()  # only the want of room is to end it
         front.most = 1
         client.send(request(1)[:40])
         while not any(c.in_request for c in front.connections):
@@ -250,3 +251,56 @@
         assert (await client.ask(READY))[0] == 503
 
     with_bed(test)
+
+
+@pytest.mark.parametrize("whole", [b"", READY])
+@pytest.mark.parametrize("part", [request(1)[:40], request(1, "extract")[:-3], b"GET"])
+def test_a_request_that_never_comes_whole_is_told_so_in_time(whole: bytes, part: bytes) -> None:
+    async def test(bed: Bed, client: Client) -> None:
+        front, clock = bed.program.front, bed.program.front.clock
+        if whole:
+            assert (await client.ask(whole))[0] == 200
+        client.send(part)
+        while not any(c.in_request for c in front.connections):
+            await asyncio.sleep(0)
+        front.look()
+        assert not any(c.closing for c in front.connections)  # not before its time
+        front.clock = lambda: clock() + READ_WITHIN
+        front.look()
+        assert (await client.answer())[0] == 408
+        assert await client.closed() and not bed.program.driver.taken
+
+    with_bed(test)
+
+
+def test_bytes_in_drops_do_not_put_off_the_end_of_a_request() -> None:
+    async def test(bed: Bed, client: Client) -> None:
+        front, clock = bed.program.front, bed.program.front.clock
+        client.send(request(1)[:40])
+        while not any(c.in_request for c in front.connections):
+            await asyncio.sleep(0)
+        front.clock = lambda: clock() + READ_WITHIN
+        (connection,) = front.connections
+        client.send(request(1)[40:50])
+        before = connection.received
+        while connection.received == before:
+            await asyncio.sleep(0)
+        front.look()
+        assert (await client.answer())[0] == 408
+
+    with_bed(test)
+
+
+def test_a_peer_that_sends_nothing_is_closed_and_an_idle_client_is_not() -> None:
+    async def test(bed: Bed, client: Client) -> None:
+        front, clock = bed.program.front, bed.program.front.clock
+        assert (await client.ask(READY))[0] == 200
+        silent = await bed.client()
+        while len(front.connections) < 2:
+            await asyncio.sleep(0)
+        front.clock = lambda: clock() + READ_WITHIN
+        front.look()
+        assert await silent.closed()
+        assert (await client.ask(READY))[0] == 200
+
+    with_bed(test)
