Let idle peers make way for waiting connections many at a time and at once

With all places taken, one idle connection made way in 20 ms, a second of lingering included: floods of some hundred peers that had asked for /ready or nothing kept clients waiting for seconds.

--- a/embersill/net/clients.py
+++ b/embersill/net/clients.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import errno
+import heapq
 import logging
 import re
+import select
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -22,12 +24,13 @@
 MOST_PIPELINED = 16  # requests under way on one connection: further ones stay unread
 PIECE = 8192  # bytes given to the parser at a time: so many small requests at most go past that bound
 SETTLED = 0.1  # seconds unused from which a connection may make way: its next request may be here unread
-STALLED = 5.0  # seconds without a byte from which a half-sent request may lose its place to another client
+STALLED = 0.5  # seconds without a byte from which a half-sent request may lose its place to another client
 READ_WITHIN = 2.0  # seconds for a request to come whole, the first from the connect on: the terms give 3
 LOOK_EVERY = 0.25  # seconds between looks for requests that did not
 LINGER = 1.0  # seconds for a peer to read an error answer before its connection goes
 BACKLOG = 1024
 ACCEPT_AGAIN = 0.02  # seconds until the next try where no descriptor was left for a connection
+MAKE_WAY = 16  # peers that make way at one go: a flood comes faster than one at a time
 ACCEPTS = 64  # connections taken in at one go, so that those at hand get their turn
 
 CALL_ID = re.compile(rb"[0-9A-Za-z_.-]{1,64}")
@@ -166,6 +169,7 @@
         self.parser = httptools.HttpRequestParser(self)
         self.idle_since = self.awaited = front.clock()  # awaited: since when a whole request is
         self.asked = False  # a whole request came
+        self.served = False  # and one of them was for a backend
         self.received = 0.0
         self.unread = b""
         self.paused = self.ended = self.closing = self.stuck = self.parsing = False
@@ -242,6 +246,7 @@
                 raise BadRequest(405, "only GET and POST", b"Allow: GET, POST\r\n")
             front = self.front
             call = front.reader.read(self.received, method, self.target, self.headers, b"".join(self.body))
+            self.served = True
             exchange.number = front.driver.take(call, exchange)
         elif path == b"/ready":
             if method != b"GET":
@@ -299,9 +304,8 @@
             return
         if self.in_request:
             self.break_off(408, "the request did not come whole")
-        elif not self.asked and self.transport is not None:
-            self.closing = True
-            self.transport.close()
+        elif not self.asked:
+            self.leave()
 
     def is_full(self) -> bool:
         return self.stuck or len(self.exchanges) >= MOST_PIPELINED
@@ -344,6 +348,7 @@
     def end(self) -> None:
         """Closes after the last answer; the peer may have more on its way, which must not cut it off."""
         self.ended = self.closing = True
+        self.idle_since = self.front.clock()
         if self.transport is not None and not self.transport.is_closing():
             if self.paused:
                 self.transport.resume_reading()
@@ -352,6 +357,12 @@
             self.transport.write_eof()
             asyncio.get_running_loop().call_later(LINGER, self.transport.close)
 
+    def leave(self) -> None:
+        """Closes at once what has no request under way."""
+        self.ended = self.closing = True
+        if self.transport is not None:
+            self.transport.close()
+
     def eof_received(self) -> bool:
         """The client sends no more. It may still read: only a broken connection tells that it has gone."""
         self.ended = True
@@ -392,6 +403,13 @@
         return now - self.idle_since > SETTLED
 
 
+    def can_leave(self) -> bool:
+        """True also for one that had its last answer and lingers only for its peer to read that."""
+        if self.closing:
+            return self.transport is not None and self.front.clock() - self.idle_since > SETTLED
+        return self.is_idle()
+
+
 class Front:
     """The listening socket and its connections.
 
@@ -408,7 +426,7 @@
         self.taking_in: set[asyncio.Task[None]] = set()
         self.loop = asyncio.get_running_loop()
         self.listener: socket.socket | None = None
-        self.again: asyncio.TimerHandle | None = None
+        self.again: asyncio.Handle | None = None
         self.stopping = False
         self.looker = self.loop.call_later(LOOK_EVERY, self.look)
 
@@ -436,7 +454,10 @@
             if self.listener is None:
                 return
             if not self.has_room():
-                return self.pause()
+                if self.is_awaited():
+                    self.make_room()
+                    self.pause()
+                return
             try:
                 sock, _ = self.listener.accept()
             except BlockingIOError:
@@ -457,13 +478,25 @@
             sock.close()
 
     def has_room(self) -> bool:
-        """True if one more fits; the longest idle makes way, as its client can open another."""
-        if len(self.connections) + len(self.taking_in) < self.most:
-            return True
-        oldest = min((c for c in self.connections if c.is_idle()), default=None, key=lambda c: c.idle_since)
-        if oldest is not None:
-            oldest.end()
-        return False
+        return len(self.connections) + len(self.taking_in) < self.most
+
+    def is_awaited(self) -> bool:
+        """True if a connection waits to be accepted: only for that does another have to go."""
+        waiting = select.poll()
+        waiting.register(cast(socket.socket, self.listener), select.POLLIN)
+        return bool(waiting.poll(0))
+
+    def make_room(self) -> None:
+        """Closes some that have no request under way: their clients can open another.
+
+        First those that wait only to be closed and peers that never asked for anything of a backend, many at
+        a time, as they may come in floods; only then the longest idle client.
+        """
+        idle = [c for c in self.connections if c.can_leave()]
+        peers = [c for c in idle if c.closing or not c.served]
+        most = MAKE_WAY if peers else 1
+        for connection in heapq.nsmallest(most, peers or idle, lambda c: (not c.closing, c.idle_since)):
+            connection.leave()
 
     def pause(self) -> None:
         """Leaves connections in the kernel's queue, where nothing is lost, until there is room again."""
@@ -479,6 +512,9 @@
 
     def closed(self, connection: ClientConnection) -> None:
         self.connections.discard(connection)
+        if self.again is not None:  # there is room now
+            self.again.cancel()
+            self.again = self.loop.call_soon(self.resume)
 
     def stop_listening(self) -> None:
         """Takes in what already waits, then listens no more."""
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -211,6 +211,7 @@
         while not any(c.in_request for c in front.connections):
             await asyncio.sleep(0)
         assert not front.has_room()
+        front.make_room()
         assert not any(c.closing for c in front.connections)
         front.clock = lambda: now + STALLED + 1.0
         other = await bed.client()
@@ -304,3 +305,23 @@
         assert (await client.ask(READY))[0] == 200
 
     with_bed(test)
+
+
+def test_a_flood_of_peers_makes_way_before_clients_and_without_waits(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("embersill.net.clients.ACCEPT_AGAIN", 1000.0)
+
+    async def test(bed: Bed, client: Client) -> None:
+        front, clock = bed.program.front, bed.program.front.clock
+        front.most = 5
+        assert (await client.ask(request(1)))[0] == 200  # the longest idle of all
+        flood = [await bed.client() for _ in range(4)]
+        for peer in flood:
+            assert (await peer.ask(READY))[0] == 200
+        front.clock = lambda: clock() + 1.0
+        others = [await bed.client() for _ in range(4)]
+        for number, other in enumerate(others):
+            assert (await other.ask(request(2 + number)))[0] == 200
+        assert all([await peer.closed() for peer in flood])
+        assert (await client.ask(request(9)))[0] == 200
+
+    with_bed(test)
