Turn away customers that are no number below 2^33

Such requests passed the reader; backends answered 400 to each of their attempts, up to four a request, and each counted against the health of a sound backend.

--- a/embersill/net/clients.py
+++ b/embersill/net/clients.py
@@ -35,7 +35,7 @@
 
 CALL_ID = re.compile(rb"[0-9A-Za-z_.-]{1,64}")
 CLIENT = re.compile(rb"[?&]client=([^&]*)")
-CUSTOMER = re.compile(rb"[0-9A-Fa-f]{16}")
+CUSTOMER = re.compile(rb"0{7}[01][0-9A-Fa-f]{8}")  # a number below 2^33
 BUDGET = re.compile(rb"\d{1,6}(\.\d{1,9})?")
 KEY = re.compile(rb"[!-~]{1,256}")
 QUOTA = re.compile(rb"\s*([a-z_]+)\s*=\s*(\d{1,9}(?:\.\d{1,9})?)\s*")
@@ -124,7 +124,7 @@
     def customer(self, target: bytes) -> str:
         found: list[bytes] = CLIENT.findall(target)
         if len(found) != 1 or not CUSTOMER.fullmatch(found[0]):
-            raise BadRequest(400, "client is not 16 hex digits")
+            raise BadRequest(400, "client is not 16 hex digits below 2^33")
         return found[0].decode().lower()
 
     def needed(self, headers: dict[bytes, bytes], name: bytes) -> bytes:
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -114,6 +114,8 @@
     (request(1, Quota_Info="units=2"), 400),
     (request(1, Quota_Info="units=0,spread=2,first=0"), 400),
     (request(1, customer="xyz"), 400),
+    (request(1, customer="0000000200000000"), 400),
+    (request(1, customer="a9e35a3e954fdffa"), 400),
     (request(1).replace(b"Plan: basis", b"Plan: basis\r\nPlan: pro"), 400),
     (request(1).replace(b"/api?", b"/other?"), 404),
     (b"GET /health HTTP/1.1\r\nHost: x\r\n\r\n", 404),
