Turn away requests with more units or gateways than the settings know

Quota-Info was taken with a spread of 70,000, of 2.5, or with a million units: one such request would have emptied a customer's level for hours.

--- a/embersill/net/clients.py
+++ b/embersill/net/clients.py
@@ -69,12 +69,12 @@
             raise BadRequest(400, "Quota-Info is not in its form")
         found[match[1]] = float(match[2])
     try:
-        units, width, first = found[b"units"], int(found[b"spread"]), int(found[b"first"])
+        units, width, first = found[b"units"], found[b"spread"], found[b"first"]
     except KeyError as error:
         raise BadRequest(400, "Quota-Info lacks units, spread or first") from error
-    if units <= 0 or width < 1:
-        raise BadRequest(400, "Quota-Info has no units or no gateways")
-    return units, width, first
+    if units <= 0 or width < 1 or not (width.is_integer() and first.is_integer()):
+        raise BadRequest(400, "Quota-Info has no units or no whole gateways")
+    return units, int(width), int(first)
 
 
 class CallReader:
@@ -83,6 +83,7 @@
     def __init__(self, settings: Settings) -> None:
         self.classes = {c.name: c for c in settings.classes}
         self.plans = {p.name for p in settings.plans}
+        self.gateways, self.most_units = settings.gateways, settings.most_units
 
     def read(self, received: float, method: bytes, target: bytes, headers: dict[bytes, bytes],
              body: bytes) -> Call:
@@ -99,6 +100,8 @@
         if body and method == b"GET":
             raise BadRequest(400, "a GET with a body")
         units, width, first = read_quota(self.needed(headers, b"quota-info"))
+        if width > self.gateways or first >= self.gateways or units > self.most_units:
+            raise BadRequest(400, "Quota-Info has more units or gateways than there are")
         return Call(
             received=received, budget=float(self.matched(headers, b"x-budget", BUDGET)), klass=klass.name,
             plan=plan, customer=customer, units=units, width=width,
