--- a/embersill/control.py
+++ b/embersill/control.py
@@ -566,7 +566,7 @@
         self.settle(job, event.true_units)
         job.ended = job.ended or event.over
         if not job.ended and not job.out:
-            self.after_failure(job, event.outcome)
+            self.after_failure(job, event)
         if job.ended and not job.out:
             self.jobs.pop(event.request, None)
         if job.throttle.queue and job.throttle.plan.concurrency > 0:
@@ -583,13 +583,16 @@
                 throttle.uncounted -= back * job.counted / job.request.units
             self.release(throttle)
 
-    def after_failure(self, job: Job, outcome: Outcome) -> None:
+    def after_failure(self, job: Job, event: AttemptEnded) -> None:
+        outcome, usual = event.outcome, self.usual_for(job)
         end = min(job.request.deadline, job.arrived + job.klass.aim)
-        # one turned away cost no work: only in overload does another come dear
+        # one turned away cost no work: only in overload does another come dear; one that broke off cost what
+        # it had done, and a connection that was lost as it was used is no sign of load
         free = outcome.never_ran and self.random.random() < self.passed
-        useful = outcome is not Outcome.TIMED_OUT and end - self.now > self.usual_for(job)
-        if useful and (free or self.retry_credit >= 1.0):
-            self.retry_credit -= 0.0 if free else 1.0
+        charge = 0.0 if free else min(1.0, event.elapsed / max(usual, EPS))
+        useful = outcome is not Outcome.TIMED_OUT and end - self.now > usual
+        if useful and self.retry_credit >= charge:
+            self.retry_credit -= charge
             self.place(job)
         else:
             self.answer(job, PERIOD, f"after {outcome.value}")
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -214,3 +214,27 @@
     made.handle(request(2), 101.0)
     made.handle(request(3), 50.0)
     assert made.now == 101.0 and made.jobs[3].arrived == 101.0
+
+
+def test_connections_that_break_as_they_are_used_leave_the_further_attempts_to_others() -> None:
+    # they cost the backends nothing: the store of further attempts is there to bound work, not these
+    watch = Watch(gateway())
+    watch.tell(backends(backend("a"), backend("b")))
+    for number in range(40):
+        actions = watch.tell(request(number, customer=f"c{number}"))
+        broken = watch.tell(ended(number, 0, where(actions), Outcome.BROKEN, 0.0, False))
+        assert not any(isinstance(a, Refuse) for a in broken)
+        watch.tell(ended(number, 1, where(broken), Outcome.SERVED))
+
+
+def test_attempts_that_break_after_their_work_draw_on_the_store_of_further_ones() -> None:
+    watch = Watch(gateway())
+    watch.tell(backends(backend("a"), backend("b")))
+    refused = 0
+    for number in range(40):
+        actions = watch.tell(request(number, customer=f"c{number}"))
+        broken = watch.tell(ended(number, 0, where(actions), Outcome.BROKEN, 0.2, False))
+        refused += any(isinstance(a, Refuse) for a in broken)
+        if number in watch.open:
+            watch.tell(ended(number, 1, where(broken), Outcome.SERVED))
+    assert refused > 10
