--- a/embersill/control.py
+++ b/embersill/control.py
@@ -26,6 +26,7 @@
 BLEND = 0.15  # weight of one sample in a backend's learned figures: about the last dozen answers count
 FORGET = 8.0  # seconds in which what is held against a backend halves: troubles last five to forty
 WORST = 8.0  # most that is held against one: it is drawn again after four halvings at the latest
+BROKEN_HELD = 0.25  # for a connection that broke: a lone one tells of the path, two in a row of the backend
 SHUN = 0.5  # what is held against a backend from which another draw is made in its place
 COLD_PART = 0.25  # of the work that would push a cold backend over, at most: chance and large work double it
 FULL_FOR = 15.0  # seconds a backend that turned a plan or a class away is passed over for it
@@ -611,7 +612,8 @@
             self.judge(late, server)
         if bad:
             dead = outcome is Outcome.NO_CONNECTION  # no slowness of the fleet looks like this
-            server.bad = max(min(2 * server.bad + 1.0, WORST), WORST / 2 if dead else 0.0)
+            held = BROKEN_HELD if outcome is Outcome.BROKEN else 1.0
+            server.bad = max(min(2 * server.bad + held, WORST), WORST / 2 if dead else 0.0)
             return None
         server.bad /= 2
         server.full.pop(kind, None)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -238,3 +238,18 @@
         if number in watch.open:
             watch.tell(ended(number, 1, where(broken), Outcome.SERVED))
     assert refused > 10
+
+
+def test_a_lone_broken_connection_sets_no_backend_aside_and_two_in_a_row_do() -> None:
+    """Found in a recording: single resets, all over the fleet, herded its work on a few backends."""
+    for breaks in (1, 2):
+        made = gateway(gateways=1, listed=backends(backend("a"), backend("b"), backend("c")))
+        number, broken, drawn = 0, 0, 0
+        while number < 100:
+            number += 1
+            sent = where(list(made.handle(request(number, customer=f"x{number}", width=1), 100.0)))
+            broken, drawn = broken + (sent == "a" and broken < breaks), drawn + (sent == "a")
+            fails = sent == "a" and drawn <= breaks
+            outcome = Outcome.BROKEN if fails else Outcome.SERVED
+            made.handle(ended(number, 0, sent, outcome, 0.1, over=True), 100.0)
+        assert (drawn > 10) == (breaks == 1), drawn
