--- a/embersill/__main__.py
+++ b/embersill/__main__.py
@@ -1,4 +1,4 @@
-"""The gateway: reads its configuration, starts the parts, and stops in order on SIGTERM."""
+"""The gateway: reads its configuration, again on SIGHUP, starts the parts, and stops in order on SIGTERM."""
 
 from __future__ import annotations
 
@@ -37,6 +37,9 @@
 LAST_BYTES = 0.25  # seconds for clients to take what was written to them
 
 
+log = logging.getLogger("embersill")
+
+
 class BadConfiguration(Exception):
     """The gateway can't start with what it was told."""
 
@@ -124,6 +127,7 @@
         stop = asyncio.Event()
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, stop.set)
+        self.loop.add_signal_handler(signal.SIGHUP, self.reload)
         await self.start()
         gc.freeze()  # what start-up made stays: no need to look through it again
         await stop.wait()
@@ -139,6 +143,19 @@
             pass
         self.settled = True
 
+    def reload(self) -> None:
+        """Takes over where discovery and the counter are now; the file's word counts, as it is the newer."""
+        environ = {name: value for name, value in os.environ.items() if name != "RELAY_DISCOVERY"}
+        try:
+            told = read_configuration(environ)
+        except BadConfiguration as error:
+            return log.warning("the configuration stays as it was: %s", error)
+        log.info("discovery is at %s:%d now", *told.discovery)
+        self.discovery.move(told.discovery)
+        if self.driver.counter is not None and told.counter is not None:
+            self.driver.counter.move(told.counter)
+        return None
+
     async def stop(self, still_coming: float = STILL_COMING, all_answered: float = ALL_ANSWERED) -> None:
         """Takes what still comes, answers all of it, and leaves nothing behind."""
         self.front.stopping = True
--- a/embersill/net/counter.py
+++ b/embersill/net/counter.py
@@ -138,6 +138,7 @@
         self.dial_timeout = dial_timeout
         self.loop = asyncio.get_running_loop()
         self.lines: list[CounterLine | None] = [None] * LINES
+        self.left: list[CounterLine] = []  # at the address before: they only wait for their answers
         self.dials: set[asyncio.Task[None]] = set()
 
     def add(self, name: str, amount: float, forget_after: float) -> None:
@@ -157,6 +158,21 @@
         words = ("CNT.ADD", name, f"{amount:.9g}", str(max(1, round(forget_after * 1000))))
         line.call(call, hiredis.pack_command(words))  # type: ignore[arg-type]  # its stub takes one word only
 
+    def move(self, address: tuple[str, int]) -> None:
+        """Calls go to another address from now on; those that are out may still be answered at the old."""
+        if address == self.address:
+            return
+        self.address = address
+        left = [line for line in self.lines if line is not None]
+        self.lines = [None] * LINES
+        self.left += left
+        self.loop.call_later(self.patience, self.leave, left)
+
+    def leave(self, lines: list[CounterLine]) -> None:
+        for line in lines:
+            line.close()
+            self.left.remove(line)
+
     async def connect(self, line: CounterLine) -> None:
         try:
             async with asyncio.timeout(self.dial_timeout):
@@ -167,7 +183,7 @@
             line.close()  # it was given up while it came up
 
     def out_of_patience(self, call: CounterCall) -> None:
-        line = next((x for x in self.lines if x is not None and call in x.written), None)
+        line = next((x for x in (*self.lines, *self.left) if x is not None and call in x.written), None)
         self.answered(call, Outcome.NO_CONNECTION if line is None else Outcome.TIMED_OUT, 0.0)
         if line is not None and line.half:
             line.close()  # the rest of a broken reply would swallow the answers behind it
@@ -181,7 +197,7 @@
         self.told(Counted(call.name, outcome, self.clock() - call.started, total))
 
     def close(self) -> None:
-        for line in self.lines:
+        for line in (*self.lines, *self.left):
             if line is not None:
                 line.close()
         for task in self.dials:
--- a/embersill/net/discovery.py
+++ b/embersill/net/discovery.py
@@ -128,7 +128,6 @@
         self, address: tuple[str, int], dial_timeout: float, told: Callable[[Listing], None]
     ) -> None:
         self.address, self.dial_timeout, self.told = address, dial_timeout, told
-        self.host = f"{address[0]}:{address[1]}"
         self.heard = asyncio.Event()  # set once discovery has answered at all
         self.connection: DiscoveryConnection | None = None
         self.generation: int | None = None
@@ -157,17 +156,25 @@
             wait = WATCH_MS / 1000.0
         connection = self.connection or await self.connect()
         async with asyncio.timeout(wait + ANSWER_WITHIN):
-            body = await connection.ask(target, self.host)
+            body = await connection.ask(target, f"{self.address[0]}:{self.address[1]}")
         if not connection.keep:
             self.drop()
         return read_listing(json.loads(body))
 
     async def connect(self) -> DiscoveryConnection:
-        loop = asyncio.get_running_loop()
+        loop, address = asyncio.get_running_loop(), self.address
         async with asyncio.timeout(self.dial_timeout):
-            _, self.connection = await loop.create_connection(DiscoveryConnection, *self.address)
+            _, self.connection = await loop.create_connection(DiscoveryConnection, *address)
+        if address != self.address:
+            raise BadList("discovery moved while this connection came up")
         return self.connection
 
+    def move(self, address: tuple[str, int]) -> None:
+        """Follows discovery to another address, from its whole list on; a call under way is broken off."""
+        if address != self.address:
+            self.address = address
+            self.drop()
+
     def drop(self) -> None:
         connection, self.connection = self.connection, None
         if connection is not None and connection.transport is not None:
--- a/tests/test_counter.py
+++ b/tests/test_counter.py
@@ -210,3 +210,24 @@
         server.close()
 
     run(test)
+
+
+def test_calls_go_to_another_address_and_those_under_way_are_still_answered() -> None:
+    async def test() -> None:
+        async with calling() as (counter, told, peer):
+            other = CounterPeer()
+            await other.start()
+            peer.free.clear()
+            counter.add("c1.7", 1.0, 4.0)
+            while not peer.calls:
+                await asyncio.sleep(0)
+            host, _, port = other.address.rpartition(":")
+            counter.move((host, int(port)))
+            counter.add("c1.7", 5.0, 4.0)
+            assert await told.next() == ("c1.7", Outcome.SERVED, 5.0)
+            peer.free.set()
+            assert await told.next() == ("c1.7", Outcome.SERVED, 1.0)
+            assert other.calls == [("c1.7", 5.0)] and peer.calls == [("c1.7", 1.0)]
+            await other.stop()
+
+    run(test)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -19,7 +19,7 @@
 import pytest
 
 from tests.bed import READY, Bed, Client, request, roomy_settings, run
-from tests.peers import HOST, SOON, Asked, serve
+from tests.peers import HOST, SOON, Asked, DiscoveryPeer, serve
 
 ROOT = pathlib.Path(__file__).parent.parent
 # the deploy file's command where .ci/run names it, so that what is deployed is what is tested
@@ -82,7 +82,8 @@
             resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors))
 
     child = await asyncio.create_subprocess_exec(
-        "/bin/sh", "-c", RUN, cwd=ROOT, env={**os.environ, "RELAY_CONFIG": str(path)},
+        "/bin/sh", "-c", RUN, cwd=ROOT,
+        env={**os.environ, "RELAY_CONFIG": str(path), "RELAY_DISCOVERY": bed.discovery.address},
         preexec_fn=limit, stderr=asyncio.subprocess.PIPE)
     try:
         await until_ready(bed)
@@ -141,6 +142,30 @@
     run(test)
 
 
+def test_sighup_moves_the_gateway_to_the_addresses_in_the_file(tmp_path: pathlib.Path) -> None:
+    async def test() -> None:
+        async with process(tmp_path) as (bed, child):
+            path, moved = tmp_path / "config.json", DiscoveryPeer()
+            await moved.start()
+            moved.generation, moved.entries = 7, dict(bed.discovery.entries)
+            told = json.loads(path.read_text())
+            path.write_text("{")  # a broken file changes nothing and ends nothing
+            child.send_signal(signal.SIGHUP)
+            assert b"stays as it was" in await child.stderr.readline()
+            path.write_text(json.dumps({**told, "discovery": moved.address}))
+            child.send_signal(signal.SIGHUP)
+            await moved.until_asked(2)
+            assert "since=7" in moved.asked[1]
+            client = await bed.client()
+            assert (await client.ask(request(1)))[0] == 200
+            await moved.change(moved.entry("b0", bed.backends[0].address, "DRAINING"))
+            await moved.until_asked(3)
+            assert (await client.ask(READY))[0] == 503 and child.returncode is None
+            await moved.stop()
+
+    run(test)
+
+
 def test_more_clients_than_descriptors_are_all_answered(tmp_path: pathlib.Path) -> None:
     # the loop's own server closes a connection that it has no descriptor for, with the request on it
     async def test() -> None:
