--- a/embersill/control.py
+++ b/embersill/control.py
@@ -46,6 +46,7 @@
 RETRY_STORE = 10.0  # further attempts that may be saved up: enough for one backend's sudden end
 CHOICES = 2  # candidates drawn for each send: two see the load, and more would herd on one gateway's view
 DRAWS = 8  # draws for these: with half of the fleet unfit one in 256 fails, and a scan is made
+LEAST_ADVICE = 0.05  # seconds told to come back in at the least: a try at once would find the same
 EPS = 1e-9  # float slack where levels are compared
 
 
@@ -211,7 +212,7 @@
         klass, plan = self.classes.get(request.klass), self.plans.get(request.plan)
         if klass is None or plan is None or request.deadline <= self.now:
             self.given_up["unknown or late"] += 1
-            return self.actions.append(Refuse(request.id, 0.0))
+            return self.actions.append(Refuse(request.id, self.advice(PERIOD)))
         throttle = self.throttles.get(request.customer) or self.join(request, plan)
         self.jobs[request.id] = job = Job(request, klass, throttle, self.now)
         units = request.units
@@ -636,12 +637,16 @@
         if job.risky is not None and not harmless:
             self.actions.append(Fail(job.request.id))
         else:
-            longest = self.settings.max_retry_after if self.settings.retry_after else 0.0
-            self.actions.append(Refuse(job.request.id, min(max(retry_after, 0.0), longest)))
+            self.actions.append(Refuse(job.request.id, self.advice(retry_after)))
         self.call_off(job)
         if not job.out:
             self.jobs.pop(job.request.id, None)
 
+    def advice(self, retry_after: float) -> float:
+        """When to come back: told with every refusal, and no longer than clients honour."""
+        longest = self.settings.max_retry_after or retry_after
+        return max(min(retry_after, longest), LEAST_ADVICE)
+
     def call_off(self, job: Job) -> None:
         for number, attempt in enumerate(job.attempts):
             if attempt.out and self.settings.may_cancel and not job.streaming:
--- a/embersill/interface.py
+++ b/embersill/interface.py
@@ -95,7 +95,6 @@
     may_probe: bool
     second_copies: bool
     max_attempts: int
-    retry_after: bool
     max_retry_after: float
     cold_from: float
     warm_within: float
--- a/embersill/settings.py
+++ b/embersill/settings.py
@@ -62,7 +62,7 @@
         counter_patience=seconds(domain, "count_limit"), counter_price=number(domain, "count_fee"),
         may_cancel=bool(take(limits, "cancel")), may_probe=bool(take(limits, "may_probe")),
         second_copies=bool(take(limits, "second_copies")), max_attempts=int(number(limits, "max_attempts")),
-        retry_after=bool(take(limits, "retry_after")), max_retry_after=seconds(limits, "max_retry_after"),
+        max_retry_after=seconds(limits, "max_retry_after"),
         cold_from=number(rules, "cold_from"), warm_within=seconds(rules, "warm_within"),
         fall_multiple=number(rules, "fall_multiple"), overload_for=seconds(rules, "overload_for"),
         report_fields=tuple(take(take(env, "report"), "fields")), most_units=number(domain, "max_units"),
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -253,3 +253,10 @@
             outcome = Outcome.BROKEN if fails else Outcome.SERVED
             made.handle(ended(number, 0, sent, outcome, 0.1, over=True), 100.0)
         assert (drawn > 10) == (breaks == 1), drawn
+
+
+def test_every_refusal_says_when_to_come_back() -> None:
+    made = gateway(listed=backends(), max_retry_after=0.0)
+    for asked in (request(1), request(2, klass="unknown"), request(3, deadline=100.0)):
+        refused = [a for a in made.handle(asked, 100.0) if isinstance(a, Refuse)]
+        assert len(refused) == 1 and refused[0].retry_after > 0
