--- a/embersill/control.py
+++ b/embersill/control.py
@@ -23,6 +23,7 @@
 SOON = 0.25  # of the period until the counter is told; of the burst unused until its sum is put right
 COUNT_MORE = 1.1  # times the counted part of thin requests for each prompt answer of the counter
 COUNT_LESS = 0.7  # and for a call it turns away or is late with: one call in five fails at most
+PATIENT = 0.9  # of the patience with a call: one lost sooner broke off, which is neither crowd nor silence
 BLEND = 0.15  # weight of one sample in a backend's learned figures: about the last dozen answers count
 FORGET = 8.0  # seconds in which what is held against a backend halves: troubles last five to forty
 WORST = 8.0  # most that is held against one: it is drawn again after four halvings at the latest
@@ -320,11 +321,12 @@
 
     def counted(self, event: Counted) -> None:
         throttle = self.throttles.get(event.name.rpartition(".")[0])
+        waited = event.elapsed >= PATIENT * self.settings.counter_patience
         if event.outcome is Outcome.SERVED:
             self.count_fails = 0
             if event.elapsed < self.settings.counter_patience / 4:
                 self.counted_part = min(1.0, self.counted_part * COUNT_MORE)
-        else:
+        elif waited or event.outcome is not Outcome.TIMED_OUT:
             self.count_fails = min(self.count_fails + 1, 4)  # it is left alone for longer: the even slice
             self.quiet_until = self.now + PERIOD * 2 ** self.count_fails / 8
             if event.outcome is not Outcome.NO_CONNECTION and self.count_fails < 3:  # crowded, not silent
--- a/tests/test_together.py
+++ b/tests/test_together.py
@@ -159,3 +159,27 @@
     over = replace(ended(1, 0, sent.backend, Outcome.SERVED), load=(9.0, 9.0))
     made.handle(over, 100.1)
     assert made.jobs == {}
+
+
+@pytest.mark.parametrize(("elapsed", "outcome", "goes_on"), [
+    (0.001, Outcome.TIMED_OUT, True),  # its connection broke, or what came was no number
+    (0.05, Outcome.TIMED_OUT, False),
+    (0.001, Outcome.TURNED_AWAY, False),
+    (0.001, Outcome.NO_CONNECTION, False),
+])
+def test_a_call_that_broke_off_does_not_silence_the_counting(
+    elapsed: float, outcome: Outcome, goes_on: bool
+) -> None:
+    made = gateway()
+    due: dict[str, str] = {}
+    for customer in ("first", "second"):
+        for number in range(8):  # more than its bank: it is worth counting
+            asked = request(8 * len(due) + number, customer=customer)
+            for action in made.handle(asked, 100.5):
+                if isinstance(action, SetTimer) and action.key == "c" + customer:
+                    due[customer] = action.key
+    now = 101.9
+    (count,) = [a for a in made.handle(TimerDue(due["first"]), now) if isinstance(a, Count)]
+    made.handle(Counted(count.name, outcome, elapsed, 0.0), now + 0.05)
+    counts = [a for a in made.handle(TimerDue(due["second"]), now + 0.06) if isinstance(a, Count)]
+    assert len(counts) == (1 if goes_on else 0)
