Hold no more requests than the ceiling lets go within the wait bound

The buffer counted what the rate brings and not what the ceiling's part does, which is the lower of the two at a gateway with most of a customer's demand: up to 17 requests stood there for 0.28 s and were refused.

--- a/embersill/control.py
+++ b/embersill/control.py
@@ -236,6 +236,8 @@
         behind = throttle.wait(0.0 if throttle.queue else units)
         if throttle.plan.rate > 0:
             behind = max(behind, (min(units, throttle.bank) - throttle.level) / throttle.rate)
+        if throttle.plan.ceiling_rate > 0:
+            behind = max(behind, (throttle.held + units - throttle.cap) / throttle.cap_rate)
         if behind > bound and not throttle.asking:
             return self.answer(job, behind, "over quota")
         throttle.queue.append(job)
--- a/tests/test_throttle.py
+++ b/tests/test_throttle.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from embersill.control import Gateway, Throttle
@@ -136,3 +138,15 @@
     watch.gateway.throttles["c"].set_share(0.001, 100.0)  # and then the slice moves elsewhere
     watch.run_to(100.9)
     assert isinstance(watch.answered[5], Refuse) and isinstance(watch.answered[4], Refuse)
+
+
+def test_no_more_is_held_than_the_ceiling_lets_go_within_the_bound() -> None:
+    """Found in a recording: the buffer took what the rate allowed and all of it waited for the ceiling."""
+    plan = replace(CAPPED, rate=40.0, burst=80.0)  # its ceiling's part here: 3 units a second
+    made = gateway(plans=(plan,))
+    held = refused = 0
+    for number in range(20):
+        actions = made.handle(request(number, plan="capped"), 100.0)
+        held += any(isinstance(a, SetTimer) and a.key.startswith("h") for a in actions)
+        refused += any(isinstance(a, Refuse) for a in actions)
+    assert held == 1 and refused == 19
