--- a/embersill/net/backends.py
+++ b/embersill/net/backends.py
@@ -16,6 +16,7 @@
 from embersill.interface import Outcome
 
 MOST_BODY = 64 * 1024  # bytes of an answer, by the protocol
+MOST_HEAD = 16 * 1024  # bytes of its heads, interim answers' included: real ones take some hundred
 IDLE_PART = 0.5  # of the backends' idle limit after which a connection is closed here: well before theirs
 AT_ONCE = 0.01  # seconds after the write in which a kept connection that was dead already breaks
 SHORTER, LONGER = 0.5, 1.25  # times an idle time that broke, or that was borne: what is tried next
@@ -94,6 +95,7 @@
     def start_answer(self) -> None:
         self.parts: list[bytes] = []
         self.size, self.units, self.headers, self.status = 0, 0.0, b"", 0
+        self.in_head, self.head_size = True, 0
         self.rejected = self.complete = self.keep = self.surplus = self.garbled = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -143,6 +145,9 @@
         elif name in (b"content-type", b"content-encoding"):
             self.headers += b"%b: %b\r\n" % (name.title(), value)
 
+    def on_headers_complete(self) -> None:
+        self.in_head = 100 <= self.parser.get_status_code() < 200  # the real answer's head follows
+
     def on_body(self, body: bytes) -> None:
         if self.complete:
             return
@@ -166,9 +171,10 @@
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.garbled = True
+        self.head_size += len(data) if self.in_head else 0
         if self.complete:
             self.finish(attempt)
-        elif self.garbled or self.size > MOST_BODY:
+        elif self.garbled or self.head_size > MOST_HEAD or self.size > MOST_BODY:
             # a backend that answers at all may have run the request, however odd the answer is
             attempt.end(Answer(Outcome.BROKEN))
 
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -64,6 +64,7 @@
 @pytest.mark.parametrize(("text", "outcome"), [
     (message(200, b"x"), Outcome.SERVED),
     (b"HTTP/1.1 100 Continue\r\n\r\n" + message(200, b"x"), Outcome.SERVED),
+    (b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + message(200, b"x" * MOST_BODY), Outcome.SERVED),
     (message(200, b"x", "Connection: close"), Outcome.SERVED),
     (message(200, b"x") + message(200, b"y"), Outcome.SERVED),
     (message(500), Outcome.ERROR),
@@ -100,6 +101,22 @@
     run(test)
 
 
+@pytest.mark.parametrize("endless", [b"X-Pad: pppppppp\r\n", b"\r\nHTTP/1.1 103 Early Hints\r\n"])
+def test_a_head_that_does_not_end_is_no_answer(endless: bytes) -> None:
+    # it took the whole time-out, in which another backend could have answered
+    async def pads(writer: asyncio.StreamWriter, asked: Asked) -> None:
+        writer.write(b"HTTP/1.1 103 Early Hints\r\n")
+        while not writer.is_closing():
+            writer.write(100 * endless)
+            await asyncio.sleep(0)
+
+    async def test() -> None:
+        async with sending(pads) as (sender, peer):
+            assert await sender.outcome(2.0) is Outcome.BROKEN
+
+    run(test)
+
+
 @pytest.mark.parametrize("step", [
     cuts, says(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab", close=True), says(b"", close=True),
     says(b"HTTP/1.1 200 OK\r\n\r\nab", close=True),
