--- a/embersill/control.py
+++ b/embersill/control.py
@@ -330,7 +330,9 @@
                 self.counted_part = min(1.0, self.counted_part * COUNT_MORE)
         elif waited or event.outcome is not Outcome.TIMED_OUT:
             self.count_fails = min(self.count_fails + 1, 4)  # it is left alone for longer: the even slice
-            self.quiet_until = self.now + PERIOD * 2 ** self.count_fails / 8
+            lone = self.count_fails < 2 and event.outcome is Outcome.TIMED_OUT  # one late among prompt ones
+            if not lone:
+                self.quiet_until = self.now + PERIOD * 2 ** self.count_fails / 8
             if event.outcome is not Outcome.NO_CONNECTION and self.count_fails < 3:  # crowded, not silent
                 self.counted_part = max(self.counted_part * COUNT_LESS, LEAST_PART)
         if throttle is not None and throttle.thin:
