Read nothing of an interim answer into the real one

X-Rejected in a 103 before a plain 503 was taken for the 503's: a proof that the request never ran which nobody gave.

--- a/embersill/net/backends.py
+++ b/embersill/net/backends.py
@@ -146,7 +146,9 @@
             self.headers += b"%b: %b\r\n" % (name.title(), value)
 
     def on_headers_complete(self) -> None:
-        self.in_head = 100 <= self.parser.get_status_code() < 200  # the real answer's head follows
+        self.in_head = 100 <= self.parser.get_status_code() < 200
+        if self.in_head:  # the real answer's head follows, and this one's lines are none of its
+            self.rejected, self.units, self.headers = False, 0.0, b""
 
     def on_body(self, body: bytes) -> None:
         if self.complete:
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -101,6 +101,18 @@
     run(test)
 
 
+def test_an_interim_answer_says_nothing_of_the_real_one() -> None:
+    async def test() -> None:
+        lines = b"X-Rejected: 1\r\nBilled-Units: 7\r\nContent-Type: text/plain\r\n"
+        interim = b"HTTP/1.1 103 Early Hints\r\n" + lines + b"\r\n"
+        async with sending(says(interim + message(200, b"x")), says(interim + message(503))) as (sender, _):
+            served = await sender.start()[1]
+            assert (served.outcome, served.units, served.headers) == (Outcome.SERVED, 0.0, b"")
+            assert await sender.outcome() is Outcome.ERROR  # it may have run: nothing proves that it did not
+
+    run(test)
+
+
 @pytest.mark.parametrize("endless", [b"X-Pad: pppppppp\r\n", b"\r\nHTTP/1.1 103 Early Hints\r\n"])
 def test_a_head_that_does_not_end_is_no_answer(endless: bytes) -> None:
     # it took the whole time-out, in which another backend could have answered
