Look for unread bytes or an end before a kept connection is used again

A second answer that comes after the first was taken, while the loop is busy elsewhere, passed for the answer of the next attempt on that connection.

--- a/embersill/net/backends.py
+++ b/embersill/net/backends.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import cast
@@ -129,6 +130,14 @@
     def usable(self) -> bool:
         return self.transport is not None and not self.transport.is_closing()
 
+    def is_quiet(self) -> bool:
+        """True where nothing is unread: an end, or bytes that would pass for the next attempt's answer."""
+        if self.transport is None:
+            return False
+        waiting = select.poll()
+        waiting.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return not waiting.poll(0)
+
     # what the parser tells
 
     def on_message_begin(self) -> None:
@@ -270,7 +279,8 @@
         while idle:
             connection = idle.pop()
             connection.idled = now - connection.idle_since
-            if connection.usable() and connection.idled < self.borne.get(attempt.backend, self.idle_limit):
+            fresh = connection.idled < self.borne.get(attempt.backend, self.idle_limit)
+            if fresh and connection.usable() and connection.is_quiet():
                 return connection.send(attempt, max(attempt.until - now, 0.001))
             connection.close()
         address = self.addresses.get(attempt.backend)
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -256,6 +256,39 @@
     run(test)
 
 
+@pytest.mark.parametrize("late", [message(200, b"of nobody"), b""])
+def test_what_came_on_an_idle_connection_unread_is_not_the_next_answer(late: bytes) -> None:
+    # written while this process had its turn elsewhere: the kernel has it and the loop has not looked yet
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        with socket.socket() as listener:
+            listener.bind((HOST, 0))
+            listener.listen()
+            listener.setblocking(False)
+            pool = Pool(loop.time, 5.0, 60.0, 10)
+            pool.set_address("b", listener.getsockname())
+            sender, served = Sender(pool), message(200, b"x")
+            _, first = sender.start()
+            old, _ = await loop.sock_accept(listener)
+            await loop.sock_recv(old, 4096)
+            await loop.sock_sendall(old, served)
+            assert (await first).body == b"x"
+            if late:
+                old.send(late)
+            else:
+                old.shutdown(socket.SHUT_WR)
+            _, second = sender.start()
+            new, _ = await loop.sock_accept(listener)
+            await loop.sock_recv(new, 4096)
+            await loop.sock_sendall(new, served)
+            assert (await second).body == b"x"
+            old.close()
+            new.close()
+            pool.close()
+
+    run(test)
+
+
 def test_connections_stand_idle_only_as_long_as_they_were_found_to_bear() -> None:
     # something on the path may drop idle connections long before the backend does, and tell nobody
     async def test() -> None:
