--- a/embersill/net/clients.py
+++ b/embersill/net/clients.py
@@ -27,6 +27,7 @@
 STALLED = 0.5  # seconds without a byte from which a half-sent request may lose its place to another client
 READ_WITHIN = 2.0  # seconds for a request to come whole, the first from the connect on: the terms give 3
 LOOK_EVERY = 0.25  # seconds between looks for requests that did not
+STUCK = 10.0  # seconds for which a client may read nothing of its answers: longer than any of its budgets
 LINGER = 1.0  # seconds for a peer to read an error answer before its connection goes
 BACKLOG = 1024
 ACCEPT_AGAIN = 0.02  # seconds until the next try where no descriptor was left for a connection
@@ -173,7 +174,7 @@
         self.idle_since = self.awaited = front.clock()  # awaited: since when a whole request is
         self.asked = False  # a whole request came
         self.served = False  # and one of them was for a backend
-        self.received = 0.0
+        self.received = self.stuck_since = 0.0
         self.unread = b""
         self.paused = self.ended = self.closing = self.stuck = self.parsing = False
         self.in_request, self.in_head, self.head_size = False, False, 0
@@ -302,13 +303,16 @@
         exchange.answer(status, f"{text}\n".encode())
 
     def hurry(self, now: float) -> None:
-        """Ends the wait for a request that does not come whole, or never comes, by an error or a close."""
+        """Ends the wait for requests that do not come whole, or at all, and for clients that never read."""
+        if self.stuck and now - self.stuck_since > STUCK and self.transport is not None:
+            return self.transport.abort()
         if self.exchanges or self.closing or self.unread or now - self.awaited <= READ_WITHIN:
-            return
+            return None
         if self.in_request:
             self.break_off(408, "the request did not come whole")
         elif not self.asked:
             self.leave()
+        return None
 
     def is_full(self) -> bool:
         return self.stuck or len(self.exchanges) >= MOST_PIPELINED
@@ -325,6 +329,7 @@
             self.transport.resume_reading()
 
     def pause_writing(self) -> None:
+        self.stuck_since = self.front.clock()
         self.stuck = True  # the client does not read its answers: it gets no further ones
         self.pace()
 
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from embersill.net.clients import MOST_BODY, MOST_HEAD, READ_WITHIN, STALLED
+from embersill.net.clients import MOST_BODY, MOST_HEAD, READ_WITHIN, STALLED, STUCK
 from tests.bed import READY, Bed, Client, request, roomy_settings, run, running
 from tests.peers import SOON, Asked, message, serve
 
@@ -210,6 +210,28 @@
     with_bed(test)
 
 
+def test_a_client_that_never_reads_is_cut_off_in_the_end() -> None:
+    # it kept its descriptor and its answers' memory for as long as it liked
+    async def test(bed: Bed, client: Client) -> None:
+        front, clock = bed.program.front, bed.program.front.clock
+        large = message(200, b"x" * MOST_BODY)
+        bed.backends[0].script = [lambda writer, asked: writer.write(large)] * 1000
+        client = await bed.client(receive_buffer=8192)
+        client.writer.transport.pause_reading()  # type: ignore[attr-defined]
+        client.send(b"".join(request(n) for n in range(1000)))
+        while not any(c.stuck for c in front.connections):
+            await asyncio.sleep(0)
+        await bed.program.driver.wait_answered(SOON)
+        front.look()
+        assert any(c.stuck for c in front.connections)  # not before its time
+        front.clock = lambda: clock() + STUCK
+        front.look()
+        while any(c.stuck for c in front.connections):
+            await asyncio.sleep(0)
+
+    with_bed(test)
+
+
 def test_half_sent_requests_make_way_for_clients_that_ask() -> None:
     async def test(bed: Bed, client: Client) -> None:
         front, now = bed.program.front, bed.program.front.clock()
