Draw cold backends by what they can do where forty gateways have few places there

Ruled out: that cold backends are slow by themselves (median 0.4 to 0.7 s of an aim of 3.5 s) or full (none turned away).

--- a/embersill/control.py
+++ b/embersill/control.py
@@ -4,8 +4,11 @@
 
 import random
 import zlib
+from bisect import bisect
 from collections import Counter, deque
 from collections.abc import Mapping
+from itertools import accumulate
+from math import ceil
 from typing import Any
 
 from embersill.interface import (
@@ -53,6 +56,7 @@
 RETRY_SHARE = 0.15  # further attempts earned by each first one: bounds what retries add in a bad hour
 RETRY_STORE = 10.0  # further attempts that may be saved up: enough for one backend's sudden end
 CHOICES = 2  # candidates drawn for each send: two see the load, and more would herd on one gateway's view
+WEIGH_EVERY = 0.25  # seconds that the draw's weights may be old: a cold backend gains 1 to 3% of its full
 DRAWS = 8  # draws for these: with half of the fleet unfit one in 256 fails, and a scan is made
 LEAST_ADVICE = 0.05  # seconds told to come back in at the least: a try at once would find the same
 WIDE = 4  # gateways from which on demand is too uneven over them for a slice that follows it by seconds
@@ -193,6 +197,8 @@
         self.given_up: Counter[str] = Counter()  # requests this gateway ended itself, by reason
         self.servers: dict[str, Server] = {}
         self.order: list[Server] = []  # those that serve, for drawing
+        self.weights: list[float] = []  # theirs, summed up, as they were at most WEIGH_EVERY ago
+        self.weigh_at = now
         self.known: set[str] = set()  # ids of all backends that were ever listed
         self.banned: set[str] = set()  # ids that staff took out, whatever the list says of them
         self.greet: dict[str, float] = {}  # restored, not answered yet: when it gets its next
@@ -498,7 +504,7 @@
         if self.drawn is not None:
             return self.drawn
         for _ in range(DRAWS if pool else 0):
-            server = pool[int(self.random.random() * len(pool))]
+            server = self.draw(pool)
             cost = self.cost(job, server) if self.may_send(job, server) else -1.0
             if cost >= 0 and (best is None or cost < least):
                 best, least = server, cost
@@ -514,6 +520,33 @@
                 best = next((s for s in tried if self.may_send(job, s)), None)
         return best
 
+    def draw(self, pool: list[Server]) -> Server:
+        """One of the pool; of all that serve by weight, as a cold backend has places for few gateways.
+
+        What is out from one of forty gateways tells little of a backend's load: the draw must spread it.
+        """
+        if pool is not self.order:
+            return pool[int(self.random.random() * len(pool))]
+        if self.now >= self.weigh_at:
+            self.weigh_at = self.now + WEIGH_EVERY
+            self.weights = list(accumulate(self.weight(s) for s in pool))
+        total = self.weights[-1]
+        if total <= 0:
+            return pool[int(self.random.random() * len(pool))]
+        return pool[bisect(self.weights, self.random.random() * total, 0, len(pool) - 1)]
+
+    def weight(self, server: Server) -> float:
+        """How often a backend is drawn: for what it can do now, by those gateways that have a place there."""
+        share = server.cold_share(self.now, self.settings)
+        if not self.has_few_places(share):
+            return 1.0
+        places = ceil(COLD_LIMIT * share)
+        taken = self.place_at(server.backend.address) < places
+        return share * self.settings.gateways / places if taken else 0.0
+
+    def has_few_places(self, share: float) -> bool:
+        return share < 1.0 and COLD_LIMIT * share < self.settings.gateways
+
     def held_against(self, server: Server) -> float:
         server.fade(self.now)
         return server.bad
@@ -534,7 +567,9 @@
         again = sum(1 for a in job.attempts if a.server is server)
         again += server.full.get((job.klass.name, job.throttle.plan.name), 0.0) > self.now
         slow = self.kinds.get(server.backend.kind, 1.0) * (server.flight + 1.0)
-        slow /= max(server.cold_share(self.now, self.settings), EPS)
+        share = server.cold_share(self.now, self.settings)
+        if not self.has_few_places(share):  # there the draw goes by what it can bear
+            slow /= max(share, EPS)
         return self.usual_for(job) * slow + (server.bad + server.overdue + again) * job.klass.aim
 
     def cold_room(self, server: Server) -> float:
@@ -827,6 +862,7 @@
     def put_in_order(self) -> None:
         self.order = [s for a, s in self.servers.items()
                       if s.backend.status is Status.SERVING and a not in self.banned]
+        self.weigh_at = self.now
 
     def ban(self, event: Suspend | Restore) -> None:
         """Takes a backend out by hand, or ends that; one that comes back is cold, as if just started."""
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Sequence
 from dataclasses import replace
 
@@ -107,6 +108,20 @@
         assert 1 <= to_cold <= 3  # a quarter of 12, as it has a quarter of its capacity
 
 
+def test_cold_backends_get_work_from_forty_gateways_by_what_they_can_do() -> None:
+    """Each of forty gateways sees every backend idle; none alone may leave the cold ones to the others."""
+    sent: Counter[str] = Counter()
+    listed = [backend(f"w{n}") for n in range(6)] + [backend(f"c{n}", started=100.0) for n in range(6)]
+    for me in range(40):
+        made = gateway(listed=backends(*listed), me=me, gateways=40, counter=False)
+        for number in range(30):  # one after the other, each answered before the next
+            server = where(list(made.handle(request(number, customer=str(number), width=1), 100.0)))
+            sent[server[0]] += 1
+            made.handle(ended(number, 0, server, Outcome.SERVED, 0.3), 100.0)
+    # they have a quarter of their capacity each: the six should get about a quarter of what the warm ones get
+    assert 0.12 <= sent["c"] / sent["w"] <= 0.4
+
+
 def test_a_cold_backend_that_turns_work_away_is_left_alone() -> None:
     made = Gateway(replace(SETTINGS, gateways=1), 0, 100.0)
     made.handle(backends(backend("cold", started=100.0)), 100.0)
