Let each of many gateways use a part of the backends, by places that all know

Now eight gateways draw on each backend, drawn by its id, and more where most of a gateway's part fails.

--- a/embersill/control.py
+++ b/embersill/control.py
@@ -56,6 +56,8 @@
 RETRY_SHARE = 0.15  # further attempts earned by each first one: bounds what retries add in a bad hour
 RETRY_STORE = 10.0  # further attempts that may be saved up: enough for one backend's sudden end
 CHOICES = 2  # candidates drawn for each send: two see the load, and more would herd on one gateway's view
+COVER = 8  # gateways that use a backend, at the least: it bears the loss of some, and is drawn on evenly
+APERTURE = 12  # backends that a gateway uses, at the least; one more costs a connection for little choice
 WEIGH_EVERY = 0.25  # seconds that the draw's weights may be old: a cold backend gains 1 to 3% of its full
 DRAWS = 8  # draws for these: with half of the fleet unfit one in 256 fails, and a scan is made
 LEAST_ADVICE = 0.05  # seconds told to come back in at the least: a try at once would find the same
@@ -162,8 +164,9 @@
 class Server:
     """What this gateway knows of one backend."""
 
-    def __init__(self, backend: Backend, limit: float, now: float) -> None:
+    def __init__(self, backend: Backend, limit: float, now: float, place: int) -> None:
         self.backend, self.touched = backend, now
+        self.place = place  # this gateway's among all there
         self.started = backend.started  # or when staff put it back, if that was later
         self.flight = self.overdue = 0  # attempts out, and those of them that are late already
         self.failed = now  # when it last did
@@ -529,20 +532,33 @@
             return pool[int(self.random.random() * len(pool))]
         if self.now >= self.weigh_at:
             self.weigh_at = self.now + WEIGH_EVERY
-            self.weights = list(accumulate(self.weight(s) for s in pool))
+            self.weights = list(accumulate(self.weigh(pool)))
         total = self.weights[-1]
         if total <= 0:
             return pool[int(self.random.random() * len(pool))]
         return pool[bisect(self.weights, self.random.random() * total, 0, len(pool) - 1)]
 
-    def weight(self, server: Server) -> float:
-        """How often a backend is drawn: for what it can do now, by those gateways that have a place there."""
-        share = server.cold_share(self.now, self.settings)
-        if not self.has_few_places(share):
-            return 1.0
-        places = ceil(COLD_LIMIT * share)
-        taken = self.place_at(server.backend.address) < places
-        return share * self.settings.gateways / places if taken else 0.0
+    def weigh(self, pool: list[Server]) -> list[float]:
+        """How often each is drawn: by a part of the gateways, which keep their connections there in use.
+
+        The part grows for a gateway that finds too few sound backends in its own.
+        """
+        width = max(COVER, ceil(APERTURE * self.settings.gateways / max(len(pool), 1)))
+        while True:
+            weights = [self.weight(s, width) for s in pool]
+            sound = sum(w > 0 and self.held_against(s) < SHUN for s, w in zip(pool, weights, strict=True))
+            if sound >= APERTURE / 2 or width >= self.settings.gateways:
+                return weights
+            width *= 2
+
+    def weight(self, server: Server, width: int) -> float:
+        """For what it can do now, shared by those gateways that have a place there."""
+        share, places = server.cold_share(self.now, self.settings), min(width, self.settings.gateways)
+        if self.has_few_places(share):
+            places = min(places, ceil(COLD_LIMIT * share))
+        elif share < 1.0:
+            share = 1.0  # what is out from here shows its load
+        return share * self.settings.gateways / places if server.place < places else 0.0
 
     def has_few_places(self, share: float) -> bool:
         return share < 1.0 and COLD_LIMIT * share < self.settings.gateways
@@ -584,11 +600,7 @@
         if any(until > self.now for until in server.full.values()):
             return 0.0  # it turns work away, at once and for ever as fast as that is sent
         each, rest = divmod(COLD_LIMIT * share, self.settings.gateways)
-        return each + (self.place_at(server.backend.address) < rest)
-
-    def place_at(self, address: str) -> int:
-        """This gateway's place among all at a backend: another at each, and known without a word."""
-        return (self.settings.me + zlib.crc32(address.encode())) % self.settings.gateways
+        return each + (server.place < rest)
 
     def pressed(self, job: Job) -> bool:
         """Sheds while answers are late, those with little credit first: overload no one backend shows."""
@@ -857,7 +869,8 @@
 
     def unknown(self, backend: Backend) -> Server:
         """A backend of which nothing is learned yet."""
-        return Server(backend, max(1.0, START_LIMIT / self.settings.gateways), self.now)
+        place = place_at(backend.address, self.settings)
+        return Server(backend, max(1.0, START_LIMIT / self.settings.gateways), self.now, place)
 
     def put_in_order(self) -> None:
         self.order = [s for a, s in self.servers.items()
@@ -873,7 +886,7 @@
             self.actions.append(HangUp(address))
         elif isinstance(event, Restore) and address in self.banned:
             self.banned.discard(address)
-            self.greet[address] = self.now + self.place_at(address) / GREETINGS
+            self.greet[address] = self.now + place_at(address, self.settings) / GREETINGS
             if server is not None:
                 self.servers[address] = self.unknown(server.backend)
                 self.servers[address].started = self.now
@@ -950,6 +963,13 @@
     return limit + OUT_MORE if out + 1 > limit / 2 else limit
 
 
+def place_at(address: str, settings: Settings) -> int:
+    """This gateway's place among all at a backend: another at each, and known without a word."""
+    places = list(range(settings.gateways))
+    random.Random(zlib.crc32(address.encode())).shuffle(places)
+    return places[settings.me % settings.gateways]
+
+
 def group_of(klass: RequestClass, server: Server) -> str | int:
     if klass.scope is Scope.ALL:
         return ""
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -122,6 +122,37 @@
     assert 0.12 <= sent["c"] / sent["w"] <= 0.4
 
 
+def used_by(me: int, names: Sequence[str], failing: Sequence[str] = ()) -> set[str]:
+    """The backends that one of forty gateways sends its requests to, each answered before the next."""
+    made = gateway(listed=backends(*map(backend, names)), me=me, gateways=40, counter=False)
+    used = set()
+    for number in range(150):
+        now = 100.0 + number / 10
+        asked = request(number, customer=str(number), width=1, deadline=now + 4)
+        server = where(list(made.handle(asked, now)))
+        used.add(server)
+        outcome = Outcome.ERROR if server in failing else Outcome.SERVED
+        made.handle(ended(number, 0, server, outcome, over=True), now)
+    return used
+
+
+def test_each_gateway_uses_a_part_of_the_backends_and_all_gateways_use_all_of_them_evenly() -> None:
+    names = [f"b{n}" for n in range(60)]
+    used = [used_by(me, names) for me in range(40)]
+    cover = Counter(name for part in used for name in part)
+    assert max(map(len, used)) <= 24
+    assert all(8 <= cover[name] <= 9 for name in names)
+    for me in (0, 7):  # a third of the list is replaced: what is kept of the part is still used
+        then = used_by(me, names[:40] + [f"new{n}" for n in range(20)])
+        assert len(used[me] & set(names[:40]) - then) <= 1
+
+
+def test_the_part_of_the_backends_grows_where_most_of_it_fails() -> None:
+    names = [f"b{n}" for n in range(60)]
+    failing = sorted(used_by(3, names))
+    assert len(used_by(3, names, failing) - set(failing)) >= 6
+
+
 def test_a_cold_backend_that_turns_work_away_is_left_alone() -> None:
     made = Gateway(replace(SETTINGS, gateways=1), 0, 100.0)
     made.handle(backends(backend("cold", started=100.0)), 100.0)
