Take turns at discovery where gateways are many

All called at the same moment, discovery serves eight calls a second, and what found no room came back within 0.25 to 0.75 s, so that the line stayed too long for good (Discovery.run). They went on sending to backends that drained or were gone: 750 attempts turned away, 599 without connection. Ruled out: a bound on watches held open, as with turns all 40 hold one.

--- a/embersill/__main__.py
+++ b/embersill/__main__.py
@@ -129,7 +129,8 @@
         self.driver.list_told(told.known)
         version = told.known.generation if told.known.entries else None
         self.discovery = Discovery(
-            told.discovery, told.limits.dial_timeout, self.driver.list_told, version, told.seed)
+            told.discovery, told.limits.dial_timeout, self.driver.list_told, version, told.seed,
+            told.settings.gateways)
         room = max(told.memory_mb * MB - BASE_MEMORY, 0) * BODIES_PART / (2 * clients)
         share = int(min(max(room, LEAST_SHARE), MOST_SHARE))
         self.front = Front(self.driver, told.settings, clock, clients, self.serves, share)
@@ -187,14 +188,17 @@
         if self.console_at is not None:
             await self.console.listen(self.console_at)
         succeeds = self.handover.find()
-        if not succeeds:
+        if succeeds:
+            self.discovery.first_turn = 0.0  # upgrades come one by one, and news are due soon after
+        else:
             self.front.listen(self.listen)
         self.following = self.loop.create_task(self.discovery.run())
-        try:
-            async with asyncio.timeout(FIRST_LIST_WITHIN):
-                await self.discovery.heard.wait()
-        except TimeoutError:
-            pass
+        if self.discovery.first_turn < FIRST_LIST_WITHIN:
+            try:
+                async with asyncio.timeout(FIRST_LIST_WITHIN):
+                    await self.discovery.heard.wait()
+            except TimeoutError:
+                pass
         if not succeeds or not await self.handover.take_over():
             self.handover.remember_bans()
             if succeeds:
--- a/embersill/net/discovery.py
+++ b/embersill/net/discovery.py
@@ -20,6 +20,9 @@
 ANSWER_WITHIN = 5.0  # seconds past the wait that an answer may take: a call given up too soon is made in vain
 FIRST_BACK_OFF, MOST_BACK_OFF = 0.05, 4.0  # seconds before a failed call is made again: doubled each time
 CROWDED = 0.5  # the first of them where discovery says or shows that it has no room
+CALLS = 10.0  # calls a second of all gateways together: in the time that this makes for all, each takes
+# a turn at random, at a start (all may start at once) and after a call that found no room
+FEW = 8  # gateways, up to which they need not
 JITTER = 0.5  # of a pause, more or less: many gateways fail together and must not come back together
 log = logging.getLogger("embersill")
 
@@ -139,7 +142,7 @@
 
     def __init__(
         self, address: tuple[str, int], dial_timeout: float, told: Callable[[Listing], None],
-        known: int | None = None, seed: int = 0,
+        known: int | None = None, seed: int = 0, gateways: int = 1,
     ) -> None:
         self.address, self.dial_timeout, self.told = address, dial_timeout, told
         self.heard = asyncio.Event()  # set once discovery has answered at all
@@ -147,9 +150,13 @@
         self.generation = known  # the version of the list that the gateway has
         self.random = random.Random(seed)
         self.failing = False
+        self.turns = gateways / CALLS if gateways > FEW else 0.0  # seconds in which all gateways have a turn
+        self.first_turn = self.turns * self.random.random()
 
     async def run(self) -> None:
         back_off = FIRST_BACK_OFF
+        if self.first_turn > 0:
+            await asyncio.sleep(self.first_turn)
         while True:
             try:
                 listing = await self.call()
@@ -161,9 +168,9 @@
                 if isinstance(error, BadList | ValueError):
                     self.generation = None  # a watch from this version would be refused again and again
                 if isinstance(error, NoRoom | TimeoutError):
-                    back_off = max(back_off, CROWDED)
+                    back_off = max(back_off, CROWDED, self.turns)
                 await asyncio.sleep(back_off * (1.0 + JITTER * (2.0 * self.random.random() - 1.0)))
-                back_off = min(2 * back_off, MOST_BACK_OFF)
+                back_off = min(2 * back_off, max(MOST_BACK_OFF, 2 * self.turns))
                 continue
             back_off = FIRST_BACK_OFF
             if self.failing:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -116,6 +116,44 @@
     run(test)
 
 
+def most_in_a_second(times: list[float]) -> int:
+    return max(sum(t <= other < t + 1.0 for other in times) for t in times)
+
+
+def test_forty_gateways_take_turns_at_a_start_and_after_a_call_without_room(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Found on the day of a joint restart: 24 of 40 called again together, and found no room for good."""
+    pauses: list[float] = []
+    forty = True
+
+    async def sleep(pause: float) -> None:
+        pauses.append(pause)
+        if len(pauses) == (2 if forty else 1):
+            raise asyncio.CancelledError
+
+    async def no_room() -> Listing:
+        raise NoRoom("status 503")
+
+    def first_pauses(seed: int) -> list[float]:
+        async def test() -> None:
+            discovery = Discovery(("127.0.0.1", 9), 5.0, lambda told: None, 1, seed, 40 if forty else 3)
+            monkeypatch.setattr(discovery, "call", no_room)
+            with pytest.raises(asyncio.CancelledError):
+                await discovery.run()
+
+        pauses.clear()
+        asyncio.run(test())
+        return list(pauses)
+
+    monkeypatch.setattr(asyncio, "sleep", sleep)
+    starts, again = zip(*(first_pauses(seed) for seed in range(40)), strict=True)
+    assert most_in_a_second(list(starts)) <= 16 and max(starts) <= 4.0
+    assert most_in_a_second(list(again)) <= 16
+    forty = False  # a few gateways need not wait
+    assert first_pauses(1)[0] < 1.0
+
+
 def test_a_version_older_than_ours_brings_the_whole_list() -> None:
     async def test() -> None:
         peer = DiscoveryPeer()
