Draw at random among the backends with room, not the first of the list, where the draws found none

Ruled out: the part of the backends that a gateway uses, which this look passes by; it widens by itself where most have failed.

--- a/embersill/control.py
+++ b/embersill/control.py
@@ -518,7 +518,8 @@
         if best is None or self.held_against(best) >= FAILING:
             # what fails at once has always room: it draws all that the others are too full for
             sound = [s for s in pool if self.held_against(s) < FAILING]
-            best = next((s for s in sound or pool if self.may_send(job, s)), None)
+            fit = [s for s in sound or pool if self.may_send(job, s)]
+            best = self.random.choice(fit) if fit else None  # the first of a list is the same at all gateways
             if best is None:  # one that failed some time ago may be well again: a lone request tells
                 tried = [s for s in pool if not s.flight and self.now - s.failed >= TRY_EVERY]
                 best = next((s for s in tried if self.may_send(job, s)), None)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -153,6 +153,20 @@
     assert len(used_by(3, names, failing) - set(failing)) >= 6
 
 
+def test_what_few_backends_have_room_for_does_not_go_to_the_same_one_from_all_gateways() -> None:
+    """Found on the day of a lost room: the first of the list had what forty gateways had no place for."""
+    names = [f"b{n}" for n in range(30)]
+    taken: Counter[str] = Counter()
+    for me in range(40):
+        made = Gateway(replace(SETTINGS, gateways=40, me=me, counter=False), me, 100.0)
+        made.handle(backends(*map(backend, names)), 100.0)
+        for server in made.order[:25]:
+            server.limit = 0.0  # these bear no more: most draws find no other
+        sent = made.handle(request(1, width=1), 100.0)
+        taken.update(a.backend for a in sent if isinstance(a, Send))
+    assert sum(taken.values()) == 40 and max(taken.values()) <= 16
+
+
 def test_a_cold_backend_that_turns_work_away_is_left_alone() -> None:
     made = Gateway(replace(SETTINGS, gateways=1), 0, 100.0)
     made.handle(backends(backend("cold", started=100.0)), 100.0)
