Make the first call to discovery at once again: putting it off broke the rule on drains

A restarted gateway waited up to 3 s with its first call (first_turn in Discovery.run), and news count as told meanwhile. Ruled out: a call without room, as gateways that had asked and got 503 were never held to have been told.

--- a/embersill/__main__.py
+++ b/embersill/__main__.py
@@ -188,17 +188,14 @@
         if self.console_at is not None:
             await self.console.listen(self.console_at)
         succeeds = self.handover.find()
-        if succeeds:
-            self.discovery.first_turn = 0.0  # upgrades come one by one, and news are due soon after
-        else:
+        if not succeeds:
             self.front.listen(self.listen)
         self.following = self.loop.create_task(self.discovery.run())
-        if self.discovery.first_turn < FIRST_LIST_WITHIN:
-            try:
-                async with asyncio.timeout(FIRST_LIST_WITHIN):
-                    await self.discovery.heard.wait()
-            except TimeoutError:
-                pass
+        try:
+            async with asyncio.timeout(FIRST_LIST_WITHIN):
+                await self.discovery.heard.wait()
+        except TimeoutError:
+            pass
         if not succeeds or not await self.handover.take_over():
             self.handover.remember_bans()
             if succeeds:
--- a/embersill/net/discovery.py
+++ b/embersill/net/discovery.py
@@ -21,7 +21,7 @@
 FIRST_BACK_OFF, MOST_BACK_OFF = 0.05, 4.0  # seconds before a failed call is made again: doubled each time
 CROWDED = 0.5  # the first of them where discovery says or shows that it has no room
 CALLS = 10.0  # calls a second of all gateways together: in the time that this makes for all, each takes
-# a turn at random, at a start (all may start at once) and after a call that found no room
+# a turn at random after a call without room; the first is made at once, as news count as told from then on
 FEW = 8  # gateways, up to which they need not
 JITTER = 0.5  # of a pause, more or less: many gateways fail together and must not come back together
 log = logging.getLogger("embersill")
@@ -151,12 +151,9 @@
         self.random = random.Random(seed)
         self.failing = False
         self.turns = gateways / CALLS if gateways > FEW else 0.0  # seconds in which all gateways have a turn
-        self.first_turn = self.turns * self.random.random()
 
     async def run(self) -> None:
         back_off = FIRST_BACK_OFF
-        if self.first_turn > 0:
-            await asyncio.sleep(self.first_turn)
         while True:
             try:
                 listing = await self.call()
