Add the list service, and several addresses for it at the gateway

The project had only a client for discovery. embersill/directory keeps the list: a pure versioned store, a log of synced batches, leases whose removal is held in doubt, an HTTP front by aiohttp, and a follower. Reading is the protocol's discovery. The gateway takes several addresses for it, optional: it turns to the next with jitter over the fleet, never takes an older list from a copy, and tells the list's age. With one address it makes the same calls as before. An entry in an unknown lifecycle no longer costs the whole list: it is set aside.

--- a/embersill/__main__.py
+++ b/embersill/__main__.py
@@ -23,7 +23,9 @@
 from embersill.net.clients import Front
 from embersill.net.console import MOST_CALLERS, Console, Refused
 from embersill.net.counter import Counter
-from embersill.net.discovery import BadList, Discovery, Listing, read_address, read_listing
+from embersill.net.discovery import (
+    Address, BadList, Discovery, Listing, read_address, read_addresses, read_listing,
+)
 from embersill.net.driver import Driver
 from embersill.net.handover import Handover
 from embersill.settings import Limits, read_limits, read_settings
@@ -56,7 +58,7 @@
 class Configuration:
     name: str
     listen: tuple[str, int]
-    discovery: tuple[str, int]
+    discovery: tuple[Address, ...]  # the first is preferred
     counter: tuple[str, int] | None
     console: tuple[str, int] | None
     seed: int
@@ -96,7 +98,7 @@
     return Configuration(
         name=str(environ.get("RELAY_NAME") or told["name"]),
         listen=read_address(environ.get("RELAY_LISTEN") or told["listen"]),
-        discovery=read_address(environ.get("RELAY_DISCOVERY") or told["discovery"]),
+        discovery=read_addresses(environ.get("RELAY_DISCOVERY") or told["discovery"]),
         counter=counter, console=read_address(console) if console else None,
         seed=int(told["seed"], 16), sockets=sockets,
         memory_mb=float(told["limits"].get("memory_mb", LEAST_MEMORY)),
@@ -131,6 +133,8 @@
         self.discovery = Discovery(
             told.discovery, told.limits.dial_timeout, self.driver.list_told, version, told.seed,
             told.settings.gateways)
+        if len(told.discovery) > 1:
+            self.driver.list_age = self.discovery.age
         room = max(told.memory_mb * MB - BASE_MEMORY, 0) * BODIES_PART / (2 * clients)
         share = int(min(max(room, LEAST_SHARE), MOST_SHARE))
         self.front = Front(self.driver, told.settings, clock, clients, self.serves, share)
@@ -210,7 +214,8 @@
             told = read_configuration(environ)
         except BadConfiguration as error:
             return log.warning("the configuration stays as it was: %s", error)
-        log.info("discovery is at %s:%d now", *told.discovery)
+        log.info("discovery is at %s now", ",".join(f"{host}:{port}" for host, port in told.discovery))
+        self.driver.list_age = self.discovery.age if len(told.discovery) > 1 else None
         self.discovery.move(told.discovery)
         if self.driver.counter is not None and told.counter is not None:
             self.driver.counter.move(told.counter)
--- /dev/null
+++ b/embersill/directory/front.py
@@ -0,0 +1,322 @@
+"""The list over HTTP: reading in discovery's form, writing by id and version, and what staff ask."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import time
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any
+from weakref import WeakSet
+
+from aiohttp import web
+
+from embersill.directory.form import (
+    DRAINING,
+    NAME,
+    REMARK,
+    SERVING,
+    BadForm,
+    choice,
+    only,
+    read_json,
+    read_name,
+    read_registration,
+    text,
+    told,
+)
+from embersill.directory.logfile import NotWritten
+from embersill.directory.service import Elsewhere, NotReady, Service, Stopped, Write
+from embersill.directory.store import Condition, Conflict, State, Unconditional, Unknown
+
+MOST_BODY = 16 * 1024  # bytes: a registration has some hundred
+MOST_WAIT_MS = 60_000  # the protocol's
+MOST_NUMBER = 10**18  # a version further on is none: they are microseconds
+FIRST_CALL_WITHIN = 5.0  # seconds for a new connection to bring a whole call, or it is closed
+IDLE_FOR = 75.0  # seconds that a connection without a call is kept: over the longest wait
+WRITE_WITHIN = 10.0  # seconds for a reader to take its answer
+RETRY_WRITE = 5  # seconds told to a writer whose write could not be stored
+SAID, SAY_EVERY = 10, 10.0  # lines about refused calls in so many seconds: a broken client sends thousands
+
+log = logging.getLogger("embersill.directory")
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+class BoundedLog:
+    """Lines at a bounded rate; what was left out is counted and told with the next."""
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self.clock = clock
+        self.until, self.said, self.left_out = clock(), 0, 0
+
+    def say(self, text: str) -> None:
+        now = self.clock()
+        if now >= self.until:
+            self.until, self.said = now + SAY_EVERY, 0
+        if self.said >= SAID:
+            self.left_out += 1
+            return
+        self.said += 1
+        more, self.left_out = self.left_out, 0
+        log.warning("%s%s", text, f" ({more} such lines before it left out)" if more else "")
+
+
+def answer(status: int, content: Any, headers: Mapping[str, str] | None = None) -> web.Response:
+    body = content if isinstance(content, bytes) else json.dumps(content, separators=(",", ":")).encode()
+    return web.Response(status=status, body=body, content_type="application/json", headers=headers)
+
+
+def refusal(status: int, why: str, **headers: str) -> web.Response:
+    return answer(status, {"error": why}, {k.replace("_", "-"): v for k, v in headers.items()})
+
+
+def number(query: Mapping[str, str], name: str, most: int) -> int | None:
+    value = query.get(name)
+    if value is None:
+        return None
+    if not (value.isascii() and value.isdecimal() and len(value) <= 19 and int(value) <= most):
+        raise BadForm(f"{name} is no whole number from 0 to {most}")
+    return int(value)
+
+
+def read_condition(headers: Mapping[str, str]) -> Condition:
+    match, none = headers.get("If-Match"), headers.get("If-None-Match")
+    if match is not None and none is not None:
+        raise BadForm("If-Match and If-None-Match exclude each other")
+    if none is not None:
+        if none.strip() != "*":
+            raise BadForm("If-None-Match can only be *")
+        return Condition(absent=True)
+    if match is None:
+        return Condition()
+    bare = match.strip()
+    digits = bare[1:-1]
+    if not (bare[:1] == bare[-1:] == '"' and digits.isascii() and digits.isdecimal() and len(digits) <= 19):
+        raise BadForm('If-Match is no version in double quotes, as "17"')
+    return Condition(version=int(digits))
+
+
+def end_unread(transport: asyncio.BaseTransport) -> None:
+    """A reader that does not take its answer holds the memory of it."""
+    if isinstance(transport, asyncio.Transport) and transport.get_write_buffer_size():
+        transport.abort()
+
+
+class Front:
+    """The calls, each a method; what a call is refused for is answered in one place."""
+
+    def __init__(self, service: Service) -> None:
+        self.service = service
+        self.refusals = BoundedLog(service.clock)
+        self.heard: WeakSet[asyncio.BaseTransport] = WeakSet()  # connections that brought a whole call
+        self.app = web.Application(client_max_size=MOST_BODY, middlewares=[self.guard])
+        self.app.add_routes(
+            [
+                web.get("/v1/endpoints", self.endpoints),
+                web.get("/v1/changes", self.changes),
+                web.get("/v1/instances", self.instances),
+                web.get("/v1/instances/{id}", self.instance),
+                web.put("/v1/instances/{id}", self.register),
+                web.delete("/v1/instances/{id}", self.remove),
+                web.post("/v1/instances/{id}/lease", self.renew),
+                web.put("/v1/instances/{id}/lifecycle", self.set_lifecycle),
+                web.put("/v1/instances/{id}/drain", self.drain),
+                web.delete("/v1/instances/{id}/drain", self.lift),
+                web.get("/v1/drains", self.drains),
+                web.post("/v1/leases/resume", self.resume),
+                web.get("/v1/status", self.status),
+                web.get("/ready", self.ready),
+            ]
+        )
+
+    # what every call goes through
+
+    @web.middleware
+    async def guard(self, request: web.Request, handler: Handler) -> web.StreamResponse:
+        if request.transport is not None:
+            self.heard.add(request.transport)
+        try:
+            response = await handler(request)
+        except Exception as error:
+            response = self.refused(error)
+            self.service.figures[f"refused {response.status}"] += 1
+            self.refusals.say(
+                f"{request.method} {request.path[:200]!r} from {request.remote}: {response.status} "
+                f"{self.why(response)}"
+            )
+        if self.service.stopping.is_set():
+            response.force_close()
+        if request.transport is not None:
+            asyncio.get_running_loop().call_later(WRITE_WITHIN, end_unread, request.transport)
+        return response
+
+    def end_silent(self, connection: asyncio.BaseProtocol) -> None:
+        """A connection that brought no whole call in its time holds a descriptor for nothing."""
+        transport = getattr(connection, "transport", None)
+        if isinstance(transport, asyncio.Transport) and transport not in self.heard:
+            transport.abort()
+
+    def refused(self, error: Exception) -> web.Response:
+        """Every refusal with its reason; an error of this program's own is logged and told as such."""
+        waits = {"Retry_After": str(self.service.back_in())}
+        match error:
+            case BadForm():
+                return refusal(400, str(error))
+            case Unknown():
+                return refusal(404, str(error))
+            case Conflict():
+                return refusal(412, str(error))
+            case Unconditional():
+                return refusal(428, str(error))
+            case Elsewhere():
+                return refusal(421, f"this is a copy; the leader is {error}", Leader=str(error))
+            case NotReady():
+                return refusal(503, str(error), **waits)
+            case NotWritten():
+                return refusal(503, f"the write could not be stored: {error}", Retry_After=str(RETRY_WRITE))
+            case Stopped():
+                return refusal(503, "the service ends", **waits)
+            case web.HTTPRequestEntityTooLarge():
+                return refusal(413, f"the body is over {MOST_BODY} bytes", Connection="close")
+            case web.HTTPException():
+                return refusal(error.status, error.reason)
+        log.error("a call went wrong", exc_info=error)
+        return refusal(500, "an error of the list service itself; its log has more")
+
+    def why(self, response: web.Response) -> str:
+        body = response.body
+        return body[:300].decode() if isinstance(body, bytes) else ""
+
+    # reading
+
+    async def endpoints(self, request: web.Request) -> web.Response:
+        since = number(request.query, "since", MOST_NUMBER)
+        wait_ms = number(request.query, "timeout_ms", MOST_WAIT_MS)
+        self.service.figures["watches" if since is not None and wait_ms else "reads"] += 1
+        body = await self.service.read(since, (wait_ms or 0) / 1000.0)
+        self.service.figures["bytes told"] += len(body)
+        return answer(200, body, self.standing())
+
+    def standing(self) -> dict[str, str]:
+        """Told beside the list: whether this is the leader's, and how long a copy has not heard of it."""
+        lag = self.service.lag()
+        if self.service.leader is None:
+            return {"Directory-Role": "leader"}
+        return {"Directory-Role": "follower"} | ({"Directory-Lag": f"{lag:.1f}"} if lag is not None else {})
+
+    async def changes(self, request: web.Request) -> web.Response:
+        after = number(request.query, "after", MOST_NUMBER)
+        if after is None:
+            raise BadForm("after is missing")
+        wait_ms = number(request.query, "timeout_ms", MOST_WAIT_MS)
+        return answer(200, await self.service.changes(after, (wait_ms or 0) / 1000.0))
+
+    async def instances(self, request: web.Request) -> web.Response:
+        states = self.service.store.states
+        shown = [self.show(id, s) for id, s in states.items() if s.entry is not None]
+        return answer(200, {"generation": self.service.store.generation, "instances": shown})
+
+    async def instance(self, request: web.Request) -> web.Response:
+        id = self.id(request)
+        state = self.service.store.states.get(id)
+        if state is None or state.entry is None:
+            raise Unknown(f"{id} is not registered")
+        return self.shown(200, id, state)
+
+    def show(self, id: str, state: State) -> dict[str, Any]:
+        shown = told(id, state.entry, state.drain) | {"version": state.version}
+        if state.entry is not None:
+            left = self.service.leases.left(id, self.service.clock())
+            shown |= {
+                "process": state.entry.process,
+                "leaseMs": state.entry.lease_ms,
+                "leaseLeftMs": round(left * 1000) if self.service.leader is None else None,
+                "ownLifecycle": state.entry.lifecycle,
+            }
+        if state.drain is not None:
+            shown["drain"] = {"by": state.drain.by, "reason": state.drain.reason, "atMs": state.drain.at_ms}
+        return shown
+
+    def shown(self, status: int, id: str, state: State | None) -> web.Response:
+        if state is None:
+            return answer(200, {"instanceId": id, "lifecycle": "DELETED"})
+        return answer(status, self.show(id, state), {"ETag": f'"{state.version}"'})
+
+    async def drains(self, request: web.Request) -> web.Response:
+        states = self.service.store.states
+        return answer(200, {"drains": [self.show(id, s) for id, s in states.items() if s.drain is not None]})
+
+    # writing
+
+    def id(self, request: web.Request) -> str:
+        return read_name(request.match_info["id"], "the instance's id")
+
+    async def body(self, request: web.Request) -> dict[str, Any]:
+        return read_json(await request.read())
+
+    async def write(self, id: str, write: Write, line: str) -> web.Response:
+        done = await self.service.write(write)
+        if done.changed:
+            log.info("%s %s, generation %d", id, line, self.service.store.generation)
+        self.service.figures["writes" if done.changed else "writes repeated"] += 1
+        return self.shown(201 if done.created else 200, id, done.state)
+
+    async def register(self, request: web.Request) -> web.Response:
+        id, condition = self.id(request), read_condition(request.headers)
+        told = read_registration(await self.body(request), int(self.service.wall() * 1000))
+        entry = told.entry
+        response = await self.write(
+            id,
+            lambda draft: draft.register(id, told, condition),
+            f"registered at {entry.host_port} by process {entry.process}",
+        )
+        self.service.renewed(id, entry.lease_ms)
+        return response
+
+    async def renew(self, request: web.Request) -> web.Response:
+        id, body = self.id(request), await self.body(request)
+        only(body, "process")
+        return self.shown(200, id, self.service.renew(id, text(body, "process", NAME)).state)
+
+    async def set_lifecycle(self, request: web.Request) -> web.Response:
+        id, condition, body = self.id(request), read_condition(request.headers), await self.body(request)
+        only(body, "process", "lifecycle")
+        process = text(body, "process", NAME)
+        lifecycle = choice(body, "lifecycle", (SERVING, DRAINING))
+        return await self.write(
+            id,
+            lambda draft: draft.set_lifecycle(id, process, lifecycle, condition),
+            f"is {lifecycle} by its own word",
+        )
+
+    async def drain(self, request: web.Request) -> web.Response:
+        id, condition, body = self.id(request), read_condition(request.headers), await self.body(request)
+        only(body, "by", "reason")
+        by, reason = text(body, "by", REMARK), text(body, "reason", REMARK, "")
+        return await self.write(
+            id, lambda draft: draft.drain(id, by, reason, condition), f"is drained by {by}: {reason}"
+        )
+
+    async def lift(self, request: web.Request) -> web.Response:
+        id, condition = self.id(request), read_condition(request.headers)
+        return await self.write(id, lambda draft: draft.lift(id, condition), "is no longer drained by staff")
+
+    async def remove(self, request: web.Request) -> web.Response:
+        id, condition = self.id(request), read_condition(request.headers)
+        return await self.write(id, lambda draft: draft.remove(id, condition), "is removed")
+
+    async def resume(self, request: web.Request) -> web.Response:
+        return answer(200, {"removed": await self.service.resume()})
+
+    # health
+
+    async def status(self, request: web.Request) -> web.Response:
+        return answer(200, self.service.status())
+
+    async def ready(self, request: web.Request) -> web.Response:
+        status = self.service.status()
+        if not status["ready"]:
+            return refusal(503, status["why"], Retry_After=str(self.service.back_in()))
+        return answer(200, {"ready": True, "role": status["role"], "generation": status["generation"]})
--- /dev/null
+++ b/embersill/directory/service.py
@@ -0,0 +1,438 @@
+"""One list service: writes in turn through the log, readers and watchers, leases, and a follower's copying.
+
+Nothing that is not yet durable is shown to anyone: a write is drafted on the store, its batch is synced, and
+only then is the store changed, the writer answered and the watchers told.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import pathlib
+import random
+import time
+from collections import Counter as Tally
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from embersill.directory.form import BadForm, Record, record_to_json
+from embersill.directory.leases import Leases
+from embersill.directory.logfile import Log, NotWritten
+from embersill.directory.store import Done, Draft, Refused, Store
+
+TICK = 0.5  # seconds between looks at the leases: a tenth of a short one's life is not noticed
+GATHER = (
+    0.02  # seconds that changes are gathered before watchers are told: a joint start comes as some few lists,
+)
+# and a drain has a second
+MOST_WATCHERS = 2000  # ten times the fleet of 200 gateways; each costs a connection and some KB
+MOST_BATCH = 256  # writes synced together: bounds how long the first of them waits
+CACHED = 64  # encoded answers kept of one version: watchers stand at few versions
+BACK_IN = (1.0, 5.0)  # seconds told to readers without a place: many are turned away together
+FOLLOWER = "follows"  # the file that marks a folder as a copy
+
+log = logging.getLogger("embersill.directory")
+
+
+@dataclass(frozen=True, slots=True)
+class Options:
+    data: pathlib.Path
+    follow: str | None = None
+    promote: bool = False
+    watchers: int = MOST_WATCHERS
+    fill: float = 10.0  # seconds after the first registration in a list that began anew until it is told
+    share: float = 0.2
+
+
+class NotReady(Exception):
+    """Reads can't be answered yet, or not to this reader; it keeps what it has."""
+
+
+class Elsewhere(Exception):
+    """Only the leader takes writes."""
+
+
+class Stopped(Exception):
+    """The service ends."""
+
+
+Write = Callable[[Draft], Done]
+
+
+class Service:
+    """The list, who waits for it to change, and what may change it."""
+
+    def __init__(
+        self,
+        options: Options,
+        clock: Callable[[], float] = time.monotonic,
+        wall: Callable[[], float] = time.time,
+        seed: int | None = None,
+    ) -> None:
+        self.options, self.clock, self.wall = options, clock, wall
+        self.random = random.Random(seed)
+        self.leader = check_role(options)
+        self.log = Log(options.data)
+        mark_role(options)
+        self.store = self.log.store
+        self.leases = Leases(clock(), options.share)
+        self.began = clock()
+        self.told_from: float | None = (
+            None if self.log.fresh else self.began
+        )  # when a list begun anew is told
+        self.contact: float | None = None  # a follower's last word from its leader
+        self.watchers = 0
+        self.news = asyncio.Event()  # replaced by another each time that it is set
+        self.publisher: asyncio.TimerHandle | None = None
+        self.writes: asyncio.Queue[tuple[Write, asyncio.Future[Done]]] = asyncio.Queue()
+        self.encoded: OrderedDict[int | None, bytes] = OrderedDict()
+        self.encoded_at = -1
+        self.figures: Tally[str] = Tally()
+        self.stopping = asyncio.Event()
+        self.tasks: list[asyncio.Task[None]] = []
+
+    # start and stop
+
+    async def start(self) -> None:
+        loop = asyncio.get_running_loop()
+        if self.leader is None:
+            draft = Draft(self.store, self.now_us())
+            draft.start()
+            await self.commit_start(draft)
+            self.keep_all()
+            self.tasks = [loop.create_task(self.write_on()), loop.create_task(self.tick_on())]
+        log.info(
+            "%s, generation %d, %d instances", self.role(), self.store.generation, len(self.store.entries())
+        )
+
+    async def commit_start(self, draft: Draft) -> None:
+        """A disk that is full at the start leaves the list readable: the number counts though not stored."""
+        try:
+            await self.store_batch(draft.records)
+        except NotWritten as error:
+            log.error("the start is not in the log, and writes will fail: %s", error)
+            self.store.apply(draft.records)
+
+    def end_watches(self) -> None:
+        """Each gets its answer now: what has changed, or nothing."""
+        self.stopping.set()
+        if self.publisher is not None:
+            self.publisher.cancel()
+        self.publish()
+
+    async def stop(self) -> None:
+        """Lets what is being written come to its end, and closes the log."""
+        while not self.writes.empty():
+            self.writes.get_nowait()[1].set_exception(Stopped())
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.log.close()
+
+    def role(self) -> str:
+        return f"follower of {self.leader}" if self.leader else "leader"
+
+    def now_us(self) -> int:
+        return int(self.wall() * 1e6)
+
+    # reading
+
+    def check_ready(self) -> None:
+        """NotReady while an answer would tell gateways that backends are gone of which nothing is known."""
+        if self.leader is not None and self.store.generation == 0:
+            raise NotReady("nothing was copied from the leader yet")
+        if self.leader is None and (self.told_from is None or self.clock() < self.told_from):
+            raise NotReady("the list began anew and waits for instances to register")
+
+    def since(self, generation: int | None) -> bytes:
+        """What a reader at this version has to know, encoded once for all that stand there."""
+        if self.encoded_at != self.store.generation:
+            self.encoded.clear()
+            self.encoded_at = self.store.generation
+        if generation not in self.encoded:
+            self.encoded[generation] = self.encode(generation)
+            self.figures["answers encoded"] += 1
+            if len(self.encoded) > CACHED:
+                self.encoded.popitem(last=False)
+        return self.encoded[generation]
+
+    def encode(self, generation: int | None) -> bytes:
+        changes = None if generation is None else self.store.changes(generation)
+        whole = changes is None
+        told = {
+            "generation": self.store.generation,
+            "reset": whole,
+            "instances": self.store.entries() if changes is None else changes,
+        }
+        return json.dumps(told, separators=(",", ":")).encode()
+
+    async def read(self, generation: int | None, wait: float) -> bytes:
+        self.check_ready()
+        if generation is not None and self.leader is not None and generation > self.store.generation:
+            raise NotReady(f"this copy is at {self.store.generation}, behind the reader")
+        if generation == self.store.generation and wait > 0:
+            await self.watch(generation, wait)
+            self.check_ready()
+        return self.since(generation)
+
+    async def watch(self, generation: int, wait: float) -> None:
+        """Waits for news, or so many seconds; one that leaves is cancelled here, and its place is free."""
+        if self.stopping.is_set():
+            return
+        if self.watchers >= self.options.watchers:
+            self.figures["watches refused"] += 1
+            raise NotReady("no room for another watch")
+        self.watchers += 1
+        try:
+            async with asyncio.timeout(wait):
+                while self.store.generation == generation and not self.stopping.is_set():
+                    await self.news.wait()  # what it wakes for may be known here already
+        except TimeoutError:
+            pass
+        finally:
+            self.watchers -= 1
+
+    def back_in(self) -> int:
+        """Seconds for a reader to wait who got nothing."""
+        return round(self.random.uniform(*BACK_IN))
+
+    def publish(self) -> None:
+        self.publisher = None
+        news, self.news = self.news, asyncio.Event()
+        news.set()
+
+    def publish_soon(self) -> None:
+        if self.publisher is None:
+            self.publisher = asyncio.get_running_loop().call_later(GATHER, self.publish)
+
+    # writing
+
+    def check_leads(self) -> None:
+        if self.leader is not None:
+            raise Elsewhere(self.leader)
+        if self.stopping.is_set():
+            raise Stopped()
+
+    async def write(self, write: Write) -> Done:
+        """Carries out one write, durable once this returns."""
+        self.check_leads()
+        done: asyncio.Future[Done] = asyncio.get_running_loop().create_future()
+        self.writes.put_nowait((write, done))
+        return await done
+
+    async def write_on(self) -> None:
+        while True:
+            batch = [await self.writes.get()]
+            while len(batch) < MOST_BATCH and not self.writes.empty():
+                batch.append(self.writes.get_nowait())
+            await asyncio.shield(self.write_batch(batch))
+
+    async def write_batch(self, batch: list[tuple[Write, asyncio.Future[Done]]]) -> None:
+        draft = Draft(self.store, self.now_us())
+        drafted: list[tuple[asyncio.Future[Done], Done]] = []
+        for write, future in batch:
+            try:
+                drafted.append((future, write(draft)))
+            except Refused as error:
+                settle(future, error)
+            except Exception as error:  # one call that goes wrong must not take the others with it
+                log.exception("a write went wrong")
+                settle(future, error)
+        try:
+            if draft.records:
+                await self.store_batch(draft.records)
+        except NotWritten as error:
+            self.figures["writes failed"] += len(drafted)
+            log.error("%d writes failed: %s", len(drafted), error)
+            for future, _ in drafted:
+                settle(future, error)
+            return
+        for future, done in drafted:
+            if not future.done():
+                future.set_result(done)
+        await self.compact_if_due()
+
+    async def store_batch(self, records: list[Record]) -> None:
+        await asyncio.get_running_loop().run_in_executor(None, self.log.append, records)
+        self.store.apply(records)
+        for record in records:
+            self.lease_record(record)
+        self.publish_soon()
+
+    async def compact_if_due(self) -> None:
+        if self.log.due():
+            content = self.store.to_json()
+            try:
+                await asyncio.get_running_loop().run_in_executor(None, self.log.compact, content)
+            except NotWritten as error:
+                log.error("no snapshot was made: %s", error)
+
+    # a follower's copying
+
+    async def changes(self, generation: int, wait: float) -> dict[str, Any]:
+        """For a follower at this version: the records after it, or the list where this history lacks it."""
+        self.check_ready()
+        if generation == self.store.generation:
+            await self.watch(generation, wait)
+        records = self.store.since(generation)
+        told: dict[str, Any] = {"generation": self.store.generation, "reset": records is None}
+        if records is None:
+            return {**told, "list": self.store.to_json()}
+        return {**told, "records": [record_to_json(r) for r in records]}
+
+    async def copy(self, records: list[Record]) -> None:
+        """Takes over what the leader did; its numbers can only go up."""
+        if records:
+            await self.store_batch(records)
+            await self.compact_if_due()
+
+    async def copy_all(self, content: dict[str, Any]) -> None:
+        """Takes over another history, where the leader's does not hold this copy's version."""
+        store = Store.from_json(content)
+        if store.generation <= self.store.generation:
+            raise BadForm(
+                f"the leader's list, at {store.generation}, is older than this copy, at "
+                f"{self.store.generation}: it was restored, or another leads"
+            )
+        await asyncio.get_running_loop().run_in_executor(None, self.log.compact, content)
+        self.store = self.log.store = store
+        self.publish_soon()
+
+    # leases
+
+    def lease_record(self, record: Record) -> None:
+        if self.leader is not None:
+            return
+        if record.entry is None:
+            self.leases.drop(record.id)
+            return
+        if self.told_from is None:
+            self.told_from = self.clock() + self.options.fill
+        if record.id not in self.leases.ends:
+            self.renewed(record.id, record.entry.lease_ms)
+
+    def renewed(self, id: str, lease_ms: int) -> None:
+        self.leases.keep(id, lease_ms / 1000.0, self.clock())
+
+    def renew(self, id: str, process: str) -> Done:
+        """Nothing of it is durable, so it neither waits for the disk nor fails with it."""
+        self.check_leads()
+        done = Draft(self.store, self.now_us()).renew(id, process)
+        if done.state is not None and done.state.entry is not None:
+            self.renewed(id, done.state.entry.lease_ms)
+        self.figures["renewals"] += 1
+        return done
+
+    def keep_all(self) -> None:
+        for id, state in self.store.states.items():
+            if state.entry is not None:
+                self.renewed(id, state.entry.lease_ms)
+        self.leases.ticked = self.clock()
+
+    async def tick_on(self) -> None:
+        while True:
+            await asyncio.sleep(TICK)
+            await self.tick()
+
+    async def tick(self) -> None:
+        """Removes those whose leases ran out, or holds that where too many did."""
+        held, given_back = self.leases.held, self.leases.given_back
+        out = self.leases.tick(self.clock(), TICK)
+        if self.leases.given_back > given_back:
+            log.warning("the service paused: all leases got %.1f s back", self.leases.given_back - given_back)
+        if self.leases.held and not held:
+            many = len(self.leases.run_out(self.clock()))
+            log.error(
+                "%d of %d leases ran out together: removal is held until they renew or it is resumed",
+                many,
+                len(self.leases.ends),
+            )
+        elif held and not self.leases.held:
+            log.info("removal is no longer held: all leases are renewed")
+        if out:
+            await self.expire(out)
+
+    async def expire(self, ids: list[str]) -> None:
+        """Removes them, but for those that renewed while this waited in turn."""
+        gone: list[str] = []
+
+        def write(draft: Draft) -> Done:
+            gone.extend(id for id in self.leases.run_out(self.clock()) if id in ids)
+            for id in gone:
+                draft.expire(id)
+            return Done(None, bool(gone))
+
+        try:
+            await self.write(write)
+        except (NotWritten, Stopped):
+            return  # they are looked at again with the next tick
+        self.figures["leases run out"] += len(gone)
+        log.warning("%d leases ran out: %s", len(gone), " ".join(gone[:20]))
+
+    async def resume(self) -> list[str]:
+        self.check_leads()
+        out = self.leases.resume(self.clock())
+        if out:
+            log.warning("an operator resumed removal: %d instances", len(out))
+            await self.expire(out)
+        return out
+
+    # what is told of the service itself
+
+    def lag(self) -> float | None:
+        """Seconds since a follower last knew that it had all the leader has."""
+        if self.leader is None:
+            return 0.0
+        return None if self.contact is None else round(self.clock() - self.contact, 3)
+
+    def status(self) -> dict[str, Any]:
+        entries = self.store.entries()
+        out = self.leases.run_out(self.clock()) if self.leader is None else []
+        try:
+            self.check_ready()
+            ready, why = not self.stopping.is_set(), "stopping" if self.stopping.is_set() else ""
+        except NotReady as error:
+            ready, why = False, str(error)
+        return {
+            "ready": ready,
+            "why": why,
+            "role": "follower" if self.leader else "leader",
+            "leader": self.leader,
+            "generation": self.store.generation,
+            "instances": len(entries),
+            "draining": sum(e["lifecycle"] != "SERVING" for e in entries),
+            "watchers": self.watchers,
+            "lag_s": self.lag(),
+            "leases": {"kept": len(self.leases.ends), "run_out": out, "removal_held": self.leases.held},
+            "log_bytes": self.log.size,
+            "writes_fail": self.log.broken,
+            "cut_bytes": self.log.cut,
+            "uptime_s": round(self.clock() - self.began, 1),
+            "figures": dict(sorted(self.figures.items())),
+        }
+
+
+def settle(future: asyncio.Future[Done], error: Exception) -> None:
+    if not future.done():
+        future.set_exception(error)
+
+
+def check_role(options: Options) -> str | None:
+    """The leader's address, or None for a leader; ValueError where a copy would become one by mistake."""
+    if options.follow is None and not options.promote and (options.data / FOLLOWER).exists():
+        leader = (options.data / FOLLOWER).read_text().strip()
+        raise ValueError(
+            f"{options.data} is a copy of {leader}'s list: start with --follow, or with --promote"
+        )
+    return options.follow
+
+
+def mark_role(options: Options) -> None:
+    mark = options.data / FOLLOWER
+    if options.follow is not None:
+        mark.write_text(options.follow + "\n")
+    else:
+        mark.unlink(missing_ok=True)
--- /dev/null
+++ b/embersill/directory/store.py
@@ -0,0 +1,258 @@
+"""The list itself: entries, drains, generations and the history of changes. Free of I/O; the time is told."""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+from typing import Any
+
+from embersill.directory.form import (
+    BadForm,
+    Drain,
+    Entry,
+    Record,
+    Registration,
+    record_from_json,
+    record_to_json,
+    told,
+)
+
+HISTORY = 4096  # changes kept: some replacements of 200 instances, and well under a MB
+MOST_FORMER = 8  # replaced processes remembered of one id: a crash loop must not fill the record
+
+
+class Refused(Exception):
+    """A write that changes nothing."""
+
+
+class Unknown(Refused):
+    """There is no such id."""
+
+
+class Conflict(Refused):
+    """The write rests on a version that is no longer the id's, or comes from a process that lost it."""
+
+
+class Unconditional(Refused):
+    """The write does not say which version it rests on."""
+
+
+@dataclass(frozen=True, slots=True)
+class Condition:
+    """What a write rests on: the id's version, or that there is no such instance."""
+
+    version: int | None = None
+    absent: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class State:
+    """What is held of one id; without an entry only staff's drain is left of it."""
+
+    version: int
+    entry: Entry | None
+    drain: Drain | None
+
+
+@dataclass(frozen=True, slots=True)
+class Done:
+    """A write's outcome: the id's state after it, and whether it changed anything."""
+
+    state: State | None
+    changed: bool
+    created: bool = False
+
+
+class Store:
+    """What is durable, as replayed from the log; changed by records alone, in the order of their numbers."""
+
+    def __init__(self, history: int = HISTORY) -> None:
+        self.most = history
+        self.generation = 0
+        self.states: dict[str, State] = {}
+        self.history: list[Record] = []
+        self.floor: int | None = None  # the generation before the history's first; None: nothing came before
+
+    def apply(self, records: Iterable[Record]) -> None:
+        for record in records:
+            if record.generation <= self.generation:
+                raise BadForm(f"generation {record.generation} comes after {self.generation}")
+            self.generation = record.generation
+            self.history.append(record)
+            if record.entry is not None or record.drain is not None:
+                self.states[record.id] = State(record.generation, record.entry, record.drain)
+            else:
+                self.states.pop(record.id, None)
+        if len(self.history) > 2 * self.most:  # in halves, so that each record is moved once at most
+            self.floor = self.history[-self.most - 1].generation
+            self.history = self.history[-self.most :]
+
+    # what readers are told
+
+    def entries(self) -> list[dict[str, Any]]:
+        return [told(id, s.entry, s.drain) for id, s in self.states.items() if s.entry is not None]
+
+    def since(self, generation: int) -> list[Record] | None:
+        """The records after that one; None where this history does not hold it."""
+        if generation == self.floor:
+            return list(self.history)
+        place = bisect_left(self.history, generation, key=record_generation)
+        if place == len(self.history) or self.history[place].generation != generation:
+            return None
+        return self.history[place + 1 :]
+
+    def changes(self, generation: int) -> list[dict[str, Any]] | None:
+        """What has become of each id that changed after that version; None: the whole list is needed."""
+        records = self.since(generation)
+        if records is None:
+            return None
+        last = {r.id: r for r in records if r.id}
+        return [told(r.id, r.entry, r.drain) for r in last.values()]
+
+    def was_known(self, id: str) -> bool:
+        return id in self.states or any(r.id == id for r in self.history)
+
+    # the whole of it, for a snapshot or a follower
+
+    def to_json(self) -> dict[str, Any]:
+        states = [Record(s.version, id, s.entry, s.drain) for id, s in self.states.items()]
+        return {
+            "generation": self.generation,
+            "floor": self.floor,
+            "history": [record_to_json(r) for r in self.history],
+            "states": [record_to_json(r) for r in states],
+        }
+
+    @classmethod
+    def from_json(cls, loaded: Any, history: int = HISTORY) -> Store:
+        store = cls(history)
+        try:
+            store.generation, store.floor = int(loaded["generation"]), loaded["floor"]
+            store.history = [record_from_json(r) for r in loaded["history"]]
+            records = [record_from_json(r) for r in loaded["states"]]
+        except (KeyError, TypeError, ValueError) as error:
+            raise BadForm(f"no list: {error!r}") from error
+        store.states = {r.id: State(r.generation, r.entry, r.drain) for r in records}
+        return store
+
+
+def record_generation(record: Record) -> int:
+    return record.generation
+
+
+class Draft:
+    """Writes checked one after the other on top of a store, and the records that they come to."""
+
+    def __init__(self, store: Store, now_us: int) -> None:
+        self.store, self.now_us = store, now_us
+        self.records: list[Record] = []
+        self.changed: dict[str, State | None] = {}
+
+    def state(self, id: str) -> State | None:
+        return self.changed[id] if id in self.changed else self.store.states.get(id)
+
+    def put(self, id: str, entry: Entry | None, drain: Drain | None) -> State | None:
+        """One more record: its number is the time, or one more than the last where the clock is behind."""
+        last = self.records[-1].generation if self.records else self.store.generation
+        record = Record(max(last + 1, self.now_us), id, entry, drain)
+        self.records.append(record)
+        state = State(record.generation, entry, drain) if entry or drain else None
+        self.changed[id] = state
+        return state
+
+    def start(self) -> None:
+        """A leader begins: from here on its numbers are no other history's."""
+        self.put("", None, None)
+
+    # the writes
+
+    def register(self, id: str, told: Registration, condition: Condition) -> Done:
+        state = self.state(id)
+        held = state.entry if state else None
+        entry = told.entry
+        if held is not None and held.process == entry.process:
+            started = entry.started_ms if told.started_told else held.started_ms
+            entry = replace(entry, started_ms=started, former=held.former)
+            if entry == held:
+                return Done(state, False)
+        elif held is not None:
+            entry = self.successor(held, told)
+        require(condition, state, held)
+        drain = state.drain if state else None
+        return Done(self.put(id, entry, drain), True, held is None)
+
+    def successor(self, held: Entry, told: Registration) -> Entry:
+        """The entry of a process that takes another's place: it started later, whatever the clock says."""
+        entry = told.entry
+        if entry.process in held.former:
+            raise Conflict(f"process {entry.process} was replaced by {held.process}")
+        if told.started_told and entry.started_ms <= held.started_ms:
+            raise Conflict(f"process {held.process} holds this id and started later or as late")
+        former = (held.process, *held.former)[:MOST_FORMER]
+        return replace(entry, started_ms=max(entry.started_ms, held.started_ms + 1), former=former)
+
+    def held_by(self, id: str, process: str) -> tuple[State, Entry]:
+        state = self.state(id)
+        if state is None or state.entry is None:
+            raise Unknown(f"{id} is not registered")
+        if state.entry.process != process:
+            raise Conflict(f"{id} is held by process {state.entry.process}")
+        return state, state.entry
+
+    def renew(self, id: str, process: str) -> Done:
+        return Done(self.held_by(id, process)[0], False)
+
+    def set_lifecycle(self, id: str, process: str, lifecycle: str, condition: Condition) -> Done:
+        state, entry = self.held_by(id, process)
+        if entry.lifecycle == lifecycle:
+            return Done(state, False)
+        require(condition, state, entry)
+        return Done(self.put(id, replace(entry, lifecycle=lifecycle), state.drain), True)
+
+    def drain(self, id: str, by: str, reason: str, condition: Condition) -> Done:
+        state = self.state(id)
+        if state is None:
+            raise Unknown(f"{id} is not registered")
+        if state.drain is not None and (state.drain.by, state.drain.reason) == (by, reason):
+            return Done(state, False)
+        require(condition, state, state)
+        return Done(self.put(id, state.entry, Drain(by, reason, self.now_us // 1000)), True)
+
+    def known(self, id: str) -> State | None:
+        """What there is of an id; of one that is gone nothing, as long as the history tells of it."""
+        state = self.state(id)
+        if state is None and not self.store.was_known(id):
+            raise Unknown(f"{id} was never registered")
+        return state
+
+    def lift(self, id: str, condition: Condition) -> Done:
+        state = self.known(id)
+        if state is None or state.drain is None:
+            return Done(state, False)
+        require(condition, state, state)
+        return Done(self.put(id, state.entry, None), True)
+
+    def remove(self, id: str, condition: Condition) -> Done:
+        state = self.known(id)
+        if state is None or state.entry is None:
+            return Done(state, False)
+        require(condition, state, state)
+        return Done(self.put(id, None, state.drain), True)
+
+    def expire(self, id: str) -> Done:
+        state = self.state(id)
+        if state is None or state.entry is None:
+            return Done(state, False)
+        return Done(self.put(id, None, state.drain), True)
+
+
+def require(condition: Condition, state: State | None, held: object | None) -> None:
+    """Conflict unless the write rests on the id as it is."""
+    if condition.absent:
+        if held is not None:
+            raise Conflict("this id is registered")
+    elif condition.version is None:
+        raise Unconditional("a write needs If-Match with the id's version, or If-None-Match: *")
+    elif state is None or state.version != condition.version:
+        raise Conflict(f"the version is {state.version if state else 'none'}")
--- a/embersill/net/discovery.py
+++ b/embersill/net/discovery.py
@@ -1,4 +1,8 @@
-"""Discovery: the whole list once, then one watch after the other, over one connection."""
+"""Discovery: the whole list once, then one watch after the other, over one connection.
+
+Where several addresses are told, they are one list: the first is its leader's, and the others take over while
+that is away. A list older than the one at hand is not taken from a copy, as what was told must be obeyed.
+"""
 
 from __future__ import annotations
 
@@ -6,7 +10,7 @@
 import json
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Any, cast
 
@@ -23,6 +27,8 @@
 CALLS = 10.0  # calls a second of all gateways together: in the time that this makes for all, each takes
 # a turn at random after a call without room; the first is made at once, as news count as told from then on
 FEW = 8  # gateways, up to which they need not
+TAKEN_OVER = 100.0  # calls a second of all gateways together at an address that takes over for another
+RETURN_AFTER, MOST_RETURN_AFTER = 60.0, 600.0  # seconds until the first address is tried again, and doubled
 JITTER = 0.5  # of a pause, more or less: many gateways fail together and must not come back together
 log = logging.getLogger("embersill")
 
@@ -37,10 +43,17 @@
     """Discovery turns the call away for now; what the gateway has is no worse for it."""
 
 
+class Behind(Exception):
+    """A copy that lags: what the gateway has is newer."""
+
+
+Address = tuple[str, int]
+
+
 @dataclass(frozen=True, slots=True)
 class Entry:
     backend: Backend
-    address: tuple[str, int]
+    address: Address
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,23 +67,31 @@
         return self.kind is not ListKind.CHANGES
 
 
-def read_address(text: str) -> tuple[str, int]:
+def read_address(text: str) -> Address:
     host, _, port = text.rpartition(":")
     if not host or not port.isdecimal() or not 0 < int(port) < 65536:
         raise ValueError(f"not an address: {text!r}")
     return host.strip("[]"), int(port)
 
 
+def read_addresses(told: Any) -> tuple[Address, ...]:
+    """One address, or several in a list or divided by commas; the first is preferred."""
+    texts = told.split(",") if isinstance(told, str) else list(told)
+    if not texts:
+        raise ValueError("no address")
+    return tuple(dict.fromkeys(read_address(text.strip()) for text in texts))
+
+
 def read_entry(entry: dict[str, Any]) -> Entry:
     started = float(entry.get("startedAtMs") or 0.0) / 1000.0
-    status = STATUSES[entry["lifecycle"]]
+    status = STATUSES.get(str(entry["lifecycle"]), Status.DRAINING)  # unknown: no work
     backend = Backend(
         address=str(entry["instanceId"]), zone=str(entry.get("zone", "")),
         kind=str(entry.get("machineType", "")), cell=int(entry.get("cell", 0)), status=status,
         rating=float(entry.get("weight", 1.0)), started=started or None,
     )
     host_port = entry.get("hostPort")
-    gone = status is Status.GONE and not host_port  # nothing is dialled there any more
+    gone = status is not Status.SERVING and not host_port  # nothing is dialled there any more
     return Entry(backend, ("", 0) if gone else read_address(str(host_port)))
 
 
@@ -78,6 +99,9 @@
     """A list in discovery's form; BadList says what is wrong with it."""
     try:
         entries = tuple(read_entry(e) for e in loaded["instances"])
+        odd = [str(e["instanceId"]) for e in loaded["instances"] if e["lifecycle"] not in STATUSES]
+        if odd:
+            log.warning("%d entries in an unknown state are set aside: %s", len(odd), " ".join(odd[:5]))
         told = kind or (ListKind.WHOLE if loaded["reset"] else ListKind.CHANGES)
         return Listing(told, int(loaded["generation"]), entries)
     except (KeyError, TypeError, ValueError, AttributeError) as error:
@@ -93,6 +117,7 @@
         self.parser = httptools.HttpResponseParser(self)
         self.body = bytearray()
         self.keep = False
+        self.leads, self.lag = False, 0.0  # as the answer's headers say, where it has such
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is one in all but its bases
@@ -100,6 +125,7 @@
     def ask(self, target: str, host: str) -> asyncio.Future[bytes]:
         assert self.transport is not None
         self.body.clear()
+        self.leads, self.lag = False, 0.0
         self.answer = asyncio.get_running_loop().create_future()
         self.transport.write(f"GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
         return self.answer
@@ -110,6 +136,12 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if name.lower() == b"directory-role":
+            self.leads = value == b"leader"
+        elif name.lower() == b"directory-lag" and value.replace(b".", b"", 1).isdigit():
+            self.lag = float(value)
+
     def on_body(self, body: bytes) -> None:
         self.body += body
 
@@ -141,23 +173,37 @@
     """Follows the list for as long as it runs, and tells every answer in order."""
 
     def __init__(
-        self, address: tuple[str, int], dial_timeout: float, told: Callable[[Listing], None],
+        self, addresses: Sequence[Address], dial_timeout: float, told: Callable[[Listing], None],
         known: int | None = None, seed: int = 0, gateways: int = 1,
     ) -> None:
-        self.address, self.dial_timeout, self.told = address, dial_timeout, told
+        self.addresses, self.dial_timeout, self.told = tuple(addresses), dial_timeout, told
+        self.place = 0  # of the address in use
         self.heard = asyncio.Event()  # set once discovery has answered at all
         self.connection: DiscoveryConnection | None = None
-        self.generation = known  # the version of the list that the gateway has
+        self.generation = known  # the version that the next call names, if any
+        self.newest = known or 0  # the version of the list that the gateway has
+        self.loop = asyncio.get_running_loop()
+        self.current_at = self.loop.time()  # when the list was as new as its leader's, for all that is known
         self.random = random.Random(seed)
         self.failing = False
         self.turns = gateways / CALLS if gateways > FEW else 0.0  # seconds in which all gateways have a turn
+        self.take_over = gateways / TAKEN_OVER  # the same, where another address is ready for them
+        self.return_after, self.return_at = RETURN_AFTER, 0.0
+
+    @property
+    def address(self) -> Address:
+        return self.addresses[self.place]
+
+    def age(self) -> float:
+        """Seconds since the list was known to be the newest."""
+        return self.loop.time() - self.current_at
 
     async def run(self) -> None:
         back_off = FIRST_BACK_OFF
         while True:
             try:
                 listing = await self.call()
-            except (OSError, TimeoutError, BadList, NoRoom, ValueError) as error:
+            except (OSError, TimeoutError, BadList, NoRoom, Behind, ValueError) as error:
                 if not self.failing:  # the first of them: discovery may be away for long
                     log.info("discovery fails, the list stays as it was: %s %s", type(error).__name__, error)
                 self.failing = True
@@ -166,7 +212,10 @@
                     self.generation = None  # a watch from this version would be refused again and again
                 if isinstance(error, NoRoom | TimeoutError):
                     back_off = max(back_off, CROWDED, self.turns)
-                await asyncio.sleep(back_off * (1.0 + JITTER * (2.0 * self.random.random() - 1.0)))
+                elif len(self.addresses) > 1:
+                    back_off = max(back_off, self.take_over)
+                self.turn_to_next()
+                await asyncio.sleep(back_off * self.jitter())
                 back_off = min(2 * back_off, max(MOST_BACK_OFF, 2 * self.turns))
                 continue
             back_off = FIRST_BACK_OFF
@@ -175,8 +224,14 @@
             self.failing = False
             older = not listing.whole and listing.generation < (self.generation or 0)
             self.generation = None if older else listing.generation  # one that counts anew, or lost its list
+            self.newest = listing.generation
             self.told(listing)
             self.heard.set()
+            if self.place and self.loop.time() >= self.return_at:
+                await self.return_to_first()
+
+    def jitter(self) -> float:
+        return 1.0 + JITTER * (2.0 * self.random.random() - 1.0)
 
     async def call(self) -> Listing:
         if self.generation is None:
@@ -185,25 +240,51 @@
             wait_ms = WATCH_MS if self.heard.is_set() and not self.failing else AT_ONCE_MS
             target = f"/v1/endpoints?since={self.generation}&timeout_ms={wait_ms}"
             wait = wait_ms / 1000.0
-        connection = self.connection or await self.connect()
+        connection = self.connection or await self.connect(self.address)
+        self.connection = connection
         async with asyncio.timeout(wait + ANSWER_WITHIN):
             body = await connection.ask(target, f"{self.address[0]}:{self.address[1]}")
         if not connection.keep:
             self.drop()
-        return read_listing(json.loads(body))
-
-    async def connect(self) -> DiscoveryConnection:
-        loop, address = asyncio.get_running_loop(), self.address
+        listing = read_listing(json.loads(body))
+        if len(self.addresses) > 1 and listing.generation < self.newest and not connection.leads:
+            where = f"{self.address[0]}:{self.address[1]}"
+            raise Behind(f"{where} is at {listing.generation}, the list at {self.newest}")
+        self.current_at = self.loop.time() - connection.lag
+        return listing
+
+    async def connect(self, address: Address) -> DiscoveryConnection:
         async with asyncio.timeout(self.dial_timeout):
-            _, self.connection = await loop.create_connection(DiscoveryConnection, *address)
-        if address != self.address:
+            _, connection = await self.loop.create_connection(DiscoveryConnection, *address)
+        if address not in self.addresses:
+            connection.fail(ConnectionError("not needed"))
             raise BadList("discovery moved while this connection came up")
-        return self.connection
+        return connection
 
-    def move(self, address: tuple[str, int]) -> None:
-        """Follows discovery to another address, from its whole list on; a call under way is broken off."""
-        if address != self.address:
-            self.address, self.generation = address, None
+    def turn_to_next(self) -> None:
+        """The next address, after a failure of this one; in time the first is tried again."""
+        if len(self.addresses) == 1:
+            return
+        if not self.place:
+            self.return_at = self.loop.time() + self.return_after * self.jitter()
+        self.place = (self.place + 1) % len(self.addresses)
+
+    async def return_to_first(self) -> None:
+        """Goes back to where it is made, once that takes connections; the watch here goes on until then."""
+        try:
+            connection = await self.connect(self.addresses[0])
+        except (OSError, TimeoutError, BadList):
+            self.return_after = min(2 * self.return_after, MOST_RETURN_AFTER)
+            self.return_at = self.loop.time() + self.return_after * self.jitter()
+            return
+        self.drop()
+        self.place, self.connection, self.return_after = 0, connection, RETURN_AFTER
+
+    def move(self, addresses: Sequence[Address]) -> None:
+        """Follows discovery to other addresses, from its whole list on; a call under way is broken off."""
+        if tuple(addresses) != self.addresses:
+            self.addresses, self.place = tuple(addresses), 0
+            self.generation, self.newest = None, 0
             self.drop()
 
     def drop(self) -> None:
--- a/embersill/net/driver.py
+++ b/embersill/net/driver.py
@@ -95,6 +95,7 @@
         self.events: deque[tuple[Event, float]] = deque()
         self.handling = False
         self.figures = Figures(gateway.classes)
+        self.list_age: Callable[[], float] | None = None  # told where the list has several addresses
         self.reporter = self.loop.call_later(REPORT_EVERY, self.report)
         self.carry: dict[type, Callable[..., None]] = {
             Send: self.send, SetTimer: self.set_timer, Refuse: self.refuse, Fail: self.fail,
@@ -306,14 +307,16 @@
         text = self.figures.since(Tally({f"gave up {why}": n for why, n in self.gateway.given_up.items()}))
         if text:
             listed, down = len(self.gateway.servers), self.gateway.down()
-            log.info("%s; open %d, listed %d, down %d", text, self.unanswered, listed, down)
+            age = f", list {self.list_age():.0f} s old" if self.list_age else ""
+            log.info("%s; open %d, listed %d, down %d%s", text, self.unanswered, listed, down, age)
         self.gateway.given_up.clear()
 
     def metrics(self) -> str:
         """The figures as they are now, for the console."""
+        more = {"list_age_s": round(self.list_age())} if self.list_age else {}
         return self.figures.text(
             backend_calls=self.pool.written, inflight=self.unanswered,
-            hosts_listed=len(self.gateway.servers), hosts_down=self.gateway.down())
+            hosts_listed=len(self.gateway.servers), hosts_down=self.gateway.down(), **more)
 
     def suspend(self, backend: str) -> bool:
         """Takes a backend out; False where it was never listed."""
