--- a/embersill/directory/service.py
+++ b/embersill/directory/service.py
@@ -311,8 +311,7 @@
             return
         if self.told_from is None:
             self.told_from = self.clock() + self.options.fill
-        if record.id not in self.leases.ends:
-            self.renewed(record.id, record.entry.lease_ms)
+        self.renewed(record.id, record.entry.lease_ms)
 
     def renewed(self, id: str, lease_ms: int) -> None:
         self.leases.keep(id, lease_ms / 1000.0, self.clock())
