Bound what the list service logs of broken HTTP, and record its measurements

Each malformed head left a trace of 13 lines in the log, at the sender's rate (seen with six of them): the library's lines now go through the same bound as refused calls, one line each.

--- a/embersill/directory/__main__.py
+++ b/embersill/directory/__main__.py
@@ -125,6 +125,7 @@
         self.runner = web.AppRunner(
             self.front.app,
             access_log=None,
+            logger=self.front.library_log,
             handler_cancellation=True,
             keepalive_timeout=IDLE_FOR,
             shutdown_timeout=END_WITHIN,
--- a/embersill/directory/front.py
+++ b/embersill/directory/front.py
@@ -63,6 +63,20 @@
         log.warning("%s%s", text, f" ({more} such lines before it left out)" if more else "")
 
 
+class OneLine(logging.Filter):
+    """What the HTTP library has to say of a broken call: without its trace, and at the same bounded rate."""
+
+    def __init__(self, lines: BoundedLog) -> None:
+        super().__init__()
+        self.lines = lines
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        cause = record.exc_info[1] if record.exc_info else None
+        why = " ".join(str(cause).split())[:200] if cause else ""
+        self.lines.say(f"{record.getMessage()}: {why}" if why else record.getMessage())
+        return False
+
+
 def answer(status: int, content: Any, headers: Mapping[str, str] | None = None) -> web.Response:
     body = content if isinstance(content, bytes) else json.dumps(content, separators=(",", ":")).encode()
     return web.Response(status=status, body=body, content_type="application/json", headers=headers)
@@ -110,6 +124,8 @@
     def __init__(self, service: Service) -> None:
         self.service = service
         self.refusals = BoundedLog(service.clock)
+        self.library_log = logging.getLogger("embersill.directory.http")
+        self.library_log.addFilter(OneLine(self.refusals))
         self.heard: WeakSet[asyncio.BaseTransport] = WeakSet()  # connections that brought a whole call
         self.app = web.Application(client_max_size=MOST_BODY, middlewares=[self.guard])
         self.app.add_routes(
--- a/tests/measure_list.py
+++ b/tests/measure_list.py
@@ -1,17 +1,18 @@
 """Measures the list service with the gateway's own client, on bounded loops: python -m tests.measure_list
 
-Not a test: nothing here passes or fails. The figures go to docs/directory.md with their day and number of plays.
+Not a test: nothing here passes or fails. The figures go to docs/directory.md with day and number of plays.
 """
 
 from __future__ import annotations
 
 import asyncio
 import pathlib
+import random
 import signal
 import statistics
 import tempfile
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from embersill.directory.form import Entry, Record
@@ -20,6 +21,7 @@
 from embersill.net.discovery import Discovery, Listing, read_address
 from tests.lists import Caller, Process, process
 
+Call = Callable[[], Coroutine[Any, Any, Listing]]
 MANY = 200  # gateways, and backends
 WRITES = 40
 PLAYS = 3
@@ -32,8 +34,12 @@
         self.generations = [0] * many
         self.changed = asyncio.Condition()
         self.called: list[float] = []
+        seeds = random.Random()  # another for each play, as for each start of a gateway
         self.clients = [
-            Discovery([read_address(a) for a in addresses], 5.0, self.told(n), None, n, many) for n in range(many)
+            Discovery(
+                [read_address(a) for a in addresses], 5.0, self.told(n), None, seeds.getrandbits(32), many
+            )
+            for n in range(many)
         ]
         for made in self.clients:
             made.call = self.timed(made.call)  # type: ignore[method-assign]
@@ -42,12 +48,14 @@
     def told(self, number: int) -> Callable[[Listing], None]:
         def tell(listing: Listing) -> None:
             self.generations[number] = listing.generation
+
         return tell
 
-    def timed(self, call: Callable[[], Awaitable[Listing]]) -> Callable[[], Awaitable[Listing]]:
+    def timed(self, call: Call) -> Call:
         async def made() -> Listing:
             self.called.append(time.monotonic())
             return await call()
+
         return made
 
     async def until(self, generation: int) -> None:
@@ -62,8 +70,13 @@
 
 async def fill(calls: Caller, many: int = MANY) -> None:
     for number in range(many):
-        await calls.register(f"s-{number:08x}", f"10.1.0.{number % 250}:5000", zone="room-a",
-                             machineType="standard-3core", leaseMs=600_000)
+        await calls.register(
+            f"s-{number:08x}",
+            f"10.1.0.{number % 250}:5000",
+            zone="room-a",
+            machineType="standard-3core",
+            leaseMs=600_000,
+        )
 
 
 async def news(folder: pathlib.Path) -> str:
@@ -81,7 +94,8 @@
             took.append(time.monotonic() - answered)
         watchers.end()
     took.sort()
-    return f"news: median {1e3 * statistics.median(took):.0f} ms, longest {1e3 * took[-1]:.0f} ms of {WRITES} writes"
+    median, longest = 1e3 * statistics.median(took), 1e3 * took[-1]
+    return f"news: median {median:.0f} ms, longest {longest:.0f} ms of {WRITES} writes"
 
 
 async def replacement(folder: pathlib.Path) -> str:
@@ -102,18 +116,29 @@
         watchers.end()
     asked = after["watches"] - before["watches"]
     told, changed = after["bytes told"] - before["bytes told"], after["writes"] - before["writes"]
-    return (f"replacement: {changed} writes, {asked} watches, {told / 1e6:.1f} MB told; "
-            f"{asked * size / 1e6:.0f} MB by whole lists of {size / 1e3:.0f} kB")
+    return (
+        f"replacement: {changed} writes, {asked} watches, {told / 1e6:.1f} MB told; "
+        f"{asked * size / 1e6:.0f} MB by whole lists of {size / 1e3:.0f} kB"
+    )
 
 
 async def replace(calls: Caller, number: int) -> None:
     """The old one says that it drains and leaves, and a new one comes."""
     old = f"s-{number:08x}"
     _, shown, _ = await calls.call("GET", f"/v1/instances/{old}")
-    _, shown, _ = await calls.call("PUT", f"/v1/instances/{old}/lifecycle",
-                                   {"process": f"p-{old}", "lifecycle": "DRAINING"}, match=shown["version"])
-    await calls.register(f"s-{number + MANY:08x}", f"10.2.0.{number % 250}:5000", zone="room-a",
-                         machineType="standard-3core", leaseMs=600_000)
+    _, shown, _ = await calls.call(
+        "PUT",
+        f"/v1/instances/{old}/lifecycle",
+        {"process": f"p-{old}", "lifecycle": "DRAINING"},
+        match=shown["version"],
+    )
+    await calls.register(
+        f"s-{number + MANY:08x}",
+        f"10.2.0.{number % 250}:5000",
+        zone="room-a",
+        machineType="standard-3core",
+        leaseMs=600_000,
+    )
     await calls.call("DELETE", f"/v1/instances/{old}", match=shown["version"])
 
 
@@ -122,7 +147,9 @@
     log = Log(folder, compact_at=2**40)
     for number in range(20_000):
         id = f"s-{number % MANY:08x}"
-        entry = Entry("10.1.0.18:5000", "room-a", "standard-3core", 0, "SERVING", 1.0, number, f"p{number}", 600_000)
+        entry = Entry(
+            "10.1.0.18:5000", "room-a", "standard-3core", 0, "SERVING", 1.0, number, f"p{number}", 600_000
+        )
         record = Record(log.store.generation + 1, id, entry, None)
         log.append([record])
         log.store.apply([record])
@@ -135,12 +162,20 @@
         await made.start()
         took.append(time.monotonic() - began)
         await made.kill()
-    return f"recovery: {size / 1e6:.1f} MB of log in 20000 batches, {min(took):.2f} to {max(took):.2f} s to listen"
+    spread = f"{min(took):.2f} to {max(took):.2f}"
+    return f"recovery: {size / 1e6:.1f} MB of log in 20000 batches, {spread} s to listen"
 
 
 async def joint_return(folder: pathlib.Path, jitter: float) -> str:
     """The service is killed and is away for five seconds: how its readers come back."""
-    client.JITTER = jitter
+    client.JITTER, before = jitter, client.JITTER
+    try:
+        return f"joint return, jitter {jitter}: {await come_back(folder)}"
+    finally:
+        client.JITTER = before
+
+
+async def come_back(folder: pathlib.Path) -> str:
     made = Process(folder)
     await made.start()
     async with process(folder.with_name("other")) as (_, calls):
@@ -160,12 +195,39 @@
         await again.kill()
     after = [t for t in watchers.called if t >= up]
     most = max(sum(t <= other < t + 0.1 for other in after) for t in after)
-    return f"joint return, jitter {jitter}: at most {most} calls in 0.1 s, all told after {took:.1f} s"
+    return f"at most {most} calls in 0.1 s, all told after {took:.1f} s"
+
+
+async def fail_over(folder: pathlib.Path) -> str:
+    """The leader is killed: how its readers come to the follower."""
+    async with (
+        process(folder) as (leader, calls),
+        process(folder.with_name("copy"), "--follow", leader.address) as (follower, copy),
+    ):
+        await fill(calls)
+        watchers = Watchers([leader.address, follower.address])
+        generation = (await calls.list())["generation"]
+        await watchers.until(generation)
+        await copy.until(lambda s: s["generation"] == generation)
+        watchers.called.clear()
+        gone = time.monotonic()
+        await leader.kill(signal.SIGKILL)
+        await copy.until(lambda s: s["watchers"] == MANY)
+        took = time.monotonic() - gone
+        watchers.end()
+    most = max(sum(t <= other < t + 0.1 for other in watchers.called) for t in watchers.called)
+    return f"fail-over: at most {most} calls in 0.1 s, all watch again after {took:.1f} s"
 
 
 async def main() -> None:
     measures: list[Callable[[pathlib.Path], Any]] = [
-        news, replacement, recovery, lambda f: joint_return(f, 0.5), lambda f: joint_return(f, 0.0)]
+        news,
+        replacement,
+        recovery,
+        lambda f: joint_return(f, 0.5),
+        lambda f: joint_return(f, 0.0),
+        fail_over,
+    ]
     for measure in measures:
         for _ in range(1 if measure is recovery else PLAYS):
             with tempfile.TemporaryDirectory() as folder:
--- a/tests/test_directory_service.py
+++ b/tests/test_directory_service.py
@@ -10,6 +10,7 @@
 import socket
 import subprocess
 import sys
+import time
 from typing import Any
 
 import pytest
@@ -321,6 +322,41 @@
     assert caplog.messages[-1] == f"one more ({500 - front.SAID} such lines before it left out)"
 
 
+def test_what_is_no_http_is_refused_and_told_in_one_line_at_the_same_rate(
+    tmp_path: pathlib.Path, caplog: pytest.LogCaptureFixture
+) -> None:
+    async def test() -> None:
+        async with served(tmp_path) as (program, calls):
+            caplog.clear()
+            host, _, port = calls.address.rpartition(":")
+            for number in range(3 * front.SAID):
+                reader, writer = await asyncio.open_connection(host, int(port))
+                writer.write(b"GET /v1/endpoints HTTP/1.1\r\nbad header %d\r\n\r\n" % number)
+                async with asyncio.timeout(SOON):
+                    assert b" 400 " in await reader.readline()
+                writer.close()
+            assert len(caplog.messages) == front.SAID and "bad header" in caplog.messages[0]
+            assert not any(record.exc_info for record in caplog.records)
+
+    run(test)
+
+
+def test_a_wall_clock_that_jumps_ends_no_lease_and_takes_no_number_back(tmp_path: pathlib.Path) -> None:
+    async def test() -> None:
+        async with served(tmp_path) as (program, calls):
+            last = 0
+            set_clock(program, [1000.0])
+            for number, jump in enumerate((0.0, 86_400.0, -86_400.0, -10**6, 0.0)):
+                program.service.wall = lambda jump=jump: time.time() + jump  # type: ignore[misc]
+                version = await calls.register(f"i{number}", leaseMs=1000)
+                assert version > last
+                last = version
+                await program.service.tick()
+            assert len((await calls.list())["instances"]) == 5 and not program.service.leases.run_out(1000.9)
+
+    run(test)
+
+
 def test_a_write_that_can_not_be_stored_fails_and_reads_go_on(
     tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
