--- a/embersill/directory/front.py
+++ b/embersill/directory/front.py
@@ -124,7 +124,7 @@
     def __init__(self, service: Service) -> None:
         self.service = service
         self.refusals = BoundedLog(service.clock)
-        self.library_log = logging.getLogger("embersill.directory.http")
+        self.library_log = logging.Logger("aiohttp")  # this service's own, not the process's
         self.library_log.addFilter(OneLine(self.refusals))
         self.heard: WeakSet[asyncio.BaseTransport] = WeakSet()  # connections that brought a whole call
         self.app = web.Application(client_max_size=MOST_BODY, middlewares=[self.guard])
