Drain backends, gateways and machines by a command, with guards and a gateway's lame duck

The gateway's console tells what is out at a backend (OUT) and its own phase (PHASE), and makes it a lame duck (DRAIN, SERVE); at its end it tells the counter what that was not told (Settle).

--- a/embersill/__main__.py
+++ b/embersill/__main__.py
@@ -43,6 +43,8 @@
 FIRST_LIST_WITHIN = 0.3  # seconds to wait for discovery's own word before the remembered list must do
 STILL_COMING = 0.5  # seconds after SIGTERM in which clients still connect, by the protocol, and a little
 ALL_ANSWERED = 3.4  # seconds after SIGTERM by which all is answered: it may be killed 0.3 s later
+LAME_DUCK = 5.0  # seconds of it, where the configuration does not tell: fronts notice in some four
+LAST_WORD = 30.0  # seconds after a drain for which the console is there to tell that nothing is open
 LAST_READ = 0.15  # seconds in which the last connections taken in bring what was already sent on them
 LAST_BYTES = 0.25  # seconds for clients to take what was written to them
 
@@ -67,6 +69,7 @@
     known: Listing
     settings: Settings
     limits: Limits
+    lame_duck: float  # seconds between a drain's begin and the end of taking requests
     folder: str | None  # private to this gateway: a process that ran before may have left something there
 
 
@@ -103,10 +106,18 @@
         seed=int(told["seed"], 16), sockets=sockets,
         memory_mb=float(told["limits"].get("memory_mb", LEAST_MEMORY)),
         known=read_listing(told["known"], ListKind.REMEMBERED), settings=settings,
-        limits=read_limits(told["settings"]), folder=environ.get("TMPDIR") or None,
+        limits=read_limits(told["settings"]), lame_duck=read_lame_duck(told),
+        folder=environ.get("TMPDIR") or None,
     )
 
 
+def read_lame_duck(told: dict[str, Any]) -> float:
+    value = told.get("lame_duck_s", LAME_DUCK)
+    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 <= value <= 3600:
+        raise ValueError("lame_duck_s is no number of seconds up to an hour")
+    return float(value)
+
+
 def start_clock() -> Callable[[], float]:
     """Unix time that never jumps: periods and backends' starts are told by it at every gateway alike."""
     began = time.time() - time.monotonic()
@@ -141,7 +152,14 @@
         self.handover = Handover(told.folder, self.driver, self.front)
         self.listen, self.console_at = told.listen, told.console
         self.console = Console({
-            "STATUS": self.status, "METRICS": self.metrics, "SUSPEND": self.suspend, "RESTORE": self.restore})
+            "STATUS": self.status, "METRICS": self.metrics, "SUSPEND": self.suspend, "RESTORE": self.restore,
+            "OUT": self.out, "PHASE": self.phase_now, "DRAIN": self.drain, "SERVE": self.serve_again})
+        self.lame_duck, self.started = told.lame_duck, clock()
+        self.phase = "serving"  # lame duck, closing, empty
+        self.stopped = asyncio.Event()  # it is to end, by a signal or at the end of a lame duck's time
+        self.signalled = asyncio.Event()
+        self.heard_empty = asyncio.Event()  # staff were told that nothing is open any more
+        self.duck: asyncio.TimerHandle | None = None
         self.following: asyncio.Task[None] | None = None
         self.settled = False  # the list is discovery's own, or as good as can be had
 
@@ -178,16 +196,64 @@
         log.info("%s may serve again", backend)
         return f"done {backend} may serve again"
 
+    async def out(self, words: list[str]) -> str:
+        backend = only_id(words)
+        told = {"state": self.driver.gateway.standing(backend), "out": self.driver.out(backend),
+                "list": self.discovery.newest}
+        return f"done {json.dumps(told)}"
+
+    async def phase_now(self, words: list[str]) -> str:
+        without_id(words)
+        if self.phase == "empty":
+            self.heard_empty.set()
+        told = {"phase": self.phase, "open": self.driver.unanswered, "ready": self.front.is_ready(),
+                "clients": len(self.front.connections), "started": self.started}
+        return f"done {json.dumps(told)}"
+
+    async def drain(self, words: list[str]) -> str:
+        """Begins a lame duck's time, once: it may be said again."""
+        without_id(words)
+        if self.handover.gave:
+            raise Refused("handed over to a successor")
+        if self.phase == "serving" and not self.stopped.is_set():
+            self.phase, self.front.leaving = "lame duck", True
+            self.duck = self.loop.call_later(self.lame_duck, self.stopped.set)
+            log.info("a lame duck for %.1f s, then it ends", self.lame_duck)
+        return await self.phase_now([])
+
+    async def serve_again(self, words: list[str]) -> str:
+        without_id(words)
+        if self.stopped.is_set():
+            raise Refused("it is too late, the process ends")
+        if self.duck is not None:
+            self.duck.cancel()
+            self.duck, self.phase, self.front.leaving = None, "serving", False
+            log.info("no lame duck any more")
+        return await self.phase_now([])
+
+    def end(self) -> None:
+        self.signalled.set()
+        self.stopped.set()
+
     async def run(self) -> None:
-        stop = asyncio.Event()
         for number in (signal.SIGTERM, signal.SIGINT):
-            self.loop.add_signal_handler(number, stop.set)
+            self.loop.add_signal_handler(number, self.end)
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
         await self.start()
         gc.freeze()  # what start-up made stays: no need to look through it again
-        await stop.wait()
+        await self.stopped.wait()
         await self.stop()
 
+    async def last_word(self) -> None:
+        """After a drain staff hear that nothing is open: a console that is only gone could be a crash's."""
+        if self.duck is None or self.signalled.is_set():
+            return
+        waits = [self.loop.create_task(event.wait()) for event in (self.signalled, self.heard_empty)]
+        await asyncio.wait(waits, timeout=LAST_WORD, return_when=asyncio.FIRST_COMPLETED)
+        for wait in waits:
+            wait.cancel()
+        await asyncio.sleep(LAST_READ)  # for the answer to go out
+
     async def start(self) -> None:
         if self.console_at is not None:
             await self.console.listen(self.console_at)
@@ -224,6 +290,7 @@
     async def stop(self, still_coming: float = STILL_COMING, all_answered: float = ALL_ANSWERED) -> None:
         """Takes what still comes, answers all of it, and leaves nothing behind."""
         self.front.stopping = True
+        self.phase = "closing"
         if self.handover.gave:
             await self.front.wait_moved(all_answered)
             self.front.stop_listening()
@@ -236,7 +303,7 @@
         if not await self.driver.wait_answered(0.0 if self.handover.gave else all_answered):
             self.driver.rescue_all()
         self.front.close_idle()
-        await self.front.wait_drained(LAST_BYTES)
+        await asyncio.gather(self.front.wait_drained(LAST_BYTES), self.driver.settle(LAST_BYTES))
         self.front.close()
         if self.following is not None:
             self.following.cancel()
@@ -246,8 +313,10 @@
         self.pool.close()
         if self.driver.counter is not None:
             self.driver.counter.close()
-        self.console.close()
         self.handover.close()
+        self.phase = "empty"
+        await self.last_word()
+        self.console.close()
 
 
 def without_id(words: list[str]) -> None:
--- a/embersill/control.py
+++ b/embersill/control.py
@@ -14,7 +14,7 @@
 from embersill.interface import (
     Action, Alone, AttemptEnded, Backend, BackendList, Cancel, ClientLeft, Count, Counted, Event, Fail,
     HangUp, Inherit, ListKind, Outcome, Plan, Refuse, Repeats, Request, RequestClass, Restore, Scope, Send,
-    SetTimer, Settings, Status, StreamBegun, Subscribe, Suspend, TimerDue, Uploaded,
+    SetTimer, Settings, Settle, Status, StreamBegun, Subscribe, Suspend, TimerDue, Uploaded,
 )
 
 PERIOD = 1.0  # seconds a demand count covers; the design's own, and short against a client's patience
@@ -247,6 +247,8 @@
             self.stream_begun(event)
         elif isinstance(event, Uploaded):
             self.uploaded(event.request)
+        elif isinstance(event, Settle):
+            self.settle_all()
         return self.actions
 
 
@@ -455,6 +457,12 @@
             throttle.counting = True
             self.actions.append(SetTimer(SOON * PERIOD / self.counted_part, "c" + throttle.customer))
 
+    def settle_all(self) -> None:
+        """The last word on units that were sent on or given back; the sums of others rest on it."""
+        for throttle in self.throttles.values():
+            if throttle.thin and throttle.uncounted and not self.handed:
+                self.count_use(throttle, 0.0)
+
     def level_read(self, throttle: Throttle, event: Counted) -> None:
         """Sets the level by the units sent on since the name's start; keeps the sum near a burst of it."""
         call = next((c for c in throttle.calls if c[0] == event.name), None)
@@ -953,6 +961,15 @@
             setattr(what, name, getattr(what, name) - number)
         self.before = []
 
+    def standing(self, address: str) -> str:
+        """What this gateway holds a backend to be, for staff who wait until nothing goes there."""
+        server = self.servers.get(address)
+        if address in self.banned:
+            return "taken out"
+        if server is not None:
+            return server.backend.status.value
+        return "gone" if address in self.known else "unknown"
+
     def down(self) -> int:
         """How many listed backends are avoided at present: by hand, by the list, or for their failures."""
         return sum(s not in self.order or self.held_against(s) >= FAILING for s in self.servers.values())
--- a/embersill/directory/follower.py
+++ b/embersill/directory/follower.py
@@ -84,10 +84,9 @@
                 raise Unusable(f"status {answer.status}: {body[:200].decode(errors='replace')}")
         told = json.loads(body)
         if told["reset"]:
-            log.warning(
-                "the leader's history does not hold generation %d: its whole list is taken",
-                service.store.generation,
-            )
+            if service.store.generation:
+                log.warning("the leader's history does not hold generation %d", service.store.generation)
+            log.info("the leader's whole list is taken, at generation %d", told["generation"])
             await service.copy_all(told["list"])
         else:
             await service.copy([record_from_json(r) for r in told["records"]])
--- a/embersill/directory/front.py
+++ b/embersill/directory/front.py
@@ -7,6 +7,7 @@
 import logging
 import time
 from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import replace
 from typing import Any
 from weakref import WeakSet
 
@@ -96,6 +97,20 @@
 
 
 def read_condition(headers: Mapping[str, str]) -> Condition:
+    """What a write rests on: the id's version, that it is not there, and maybe the whole list's version."""
+    of_list = headers.get("List-Match")
+    return replace(read_match(headers), list=None if of_list is None else version(of_list, "List-Match"))
+
+
+def version(text: str, name: str) -> int:
+    bare = text.strip()
+    digits = bare[1:-1]
+    if not (bare[:1] == bare[-1:] == '"' and digits.isascii() and digits.isdecimal() and len(digits) <= 19):
+        raise BadForm(f'{name} is no version in double quotes, as "17"')
+    return int(digits)
+
+
+def read_match(headers: Mapping[str, str]) -> Condition:
     match, none = headers.get("If-Match"), headers.get("If-None-Match")
     if match is not None and none is not None:
         raise BadForm("If-Match and If-None-Match exclude each other")
@@ -103,13 +118,7 @@
         if none.strip() != "*":
             raise BadForm("If-None-Match can only be *")
         return Condition(absent=True)
-    if match is None:
-        return Condition()
-    bare = match.strip()
-    digits = bare[1:-1]
-    if not (bare[:1] == bare[-1:] == '"' and digits.isascii() and digits.isdecimal() and len(digits) <= 19):
-        raise BadForm('If-Match is no version in double quotes, as "17"')
-    return Condition(version=int(digits))
+    return Condition() if match is None else Condition(version=version(match, "If-Match"))
 
 
 def end_unread(transport: asyncio.BaseTransport) -> None:
@@ -262,7 +271,13 @@
 
     async def drains(self, request: web.Request) -> web.Response:
         states = self.service.store.states
-        return answer(200, {"drains": [self.show(id, s) for id, s in states.items() if s.drain is not None]})
+        return answer(
+            200,
+            {
+                "generation": self.service.store.generation,
+                "drains": [self.show(id, s) for id, s in states.items() if s.drain is not None],
+            },
+        )
 
     # writing
 
--- a/embersill/directory/service.py
+++ b/embersill/directory/service.py
@@ -173,13 +173,13 @@
         self.check_ready()
         if generation is not None and self.leader is not None and generation > self.store.generation:
             raise NotReady(f"this copy is at {self.store.generation}, behind the reader")
-        if generation == self.store.generation and wait > 0:
-            await self.watch(generation, wait)
+        if generation is not None and wait > 0 and not self.store.has_news(generation):
+            await self.watch(lambda: self.store.has_news(generation), wait)
             self.check_ready()
         return self.since(generation)
 
-    async def watch(self, generation: int, wait: float) -> None:
-        """Waits for news, or so many seconds; one that leaves is cancelled here, and its place is free."""
+    async def watch(self, done: Callable[[], bool], wait: float) -> None:
+        """Waits until that is so, or so many seconds; one that leaves is cancelled here, its place free."""
         if self.stopping.is_set():
             return
         if self.watchers >= self.options.watchers:
@@ -188,7 +188,7 @@
         self.watchers += 1
         try:
             async with asyncio.timeout(wait):
-                while self.store.generation == generation and not self.stopping.is_set():
+                while not (done() or self.stopping.is_set()):
                     await self.news.wait()  # what it wakes for may be known here already
         except TimeoutError:
             pass
@@ -276,7 +276,7 @@
         """For a follower at this version: the records after it, or the list where this history lacks it."""
         self.check_ready()
         if generation == self.store.generation:
-            await self.watch(generation, wait)
+            await self.watch(lambda: self.store.generation != generation, wait)
         records = self.store.since(generation)
         told: dict[str, Any] = {"generation": self.store.generation, "reset": records is None}
         if records is None:
--- a/embersill/directory/store.py
+++ b/embersill/directory/store.py
@@ -44,6 +44,7 @@
 
     version: int | None = None
     absent: bool = False
+    list: int | None = None  # the version of the whole list that the write was decided on, if it matters
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,6 +74,8 @@
         self.states: dict[str, State] = {}
         self.history: list[Record] = []
         self.floor: int | None = None  # the generation before the history's first; None: nothing came before
+        self.silent: set[int] = set()  # generations in the history that changed nothing for readers
+        self.shown = 0  # the last that did
 
     def apply(self, records: Iterable[Record]) -> None:
         for record in records:
@@ -80,6 +83,11 @@
                 raise BadForm(f"generation {record.generation} comes after {self.generation}")
             self.generation = record.generation
             self.history.append(record)
+            before = self.states.get(record.id)
+            if record.entry is None and (before is None or before.entry is None):
+                self.silent.add(record.generation)
+            else:
+                self.shown = record.generation
             if record.entry is not None or record.drain is not None:
                 self.states[record.id] = State(record.generation, record.entry, record.drain)
             else:
@@ -87,6 +95,7 @@
         if len(self.history) > 2 * self.most:  # in halves, so that each record is moved once at most
             self.floor = self.history[-self.most - 1].generation
             self.history = self.history[-self.most :]
+            self.silent = {g for g in self.silent if g > self.floor}
 
     # what readers are told
 
@@ -107,9 +116,13 @@
         records = self.since(generation)
         if records is None:
             return None
-        last = {r.id: r for r in records if r.id}
+        last = {r.id: r for r in records if r.generation not in self.silent}
         return [told(r.id, r.entry, r.drain) for r in last.values()]
 
+    def has_news(self, generation: int) -> bool:
+        """Whether a reader at this version has anything to be told."""
+        return self.shown > generation or self.since(generation) is None
+
     def was_known(self, id: str) -> bool:
         return id in self.states or any(r.id == id for r in self.history)
 
@@ -120,6 +133,8 @@
         return {
             "generation": self.generation,
             "floor": self.floor,
+            "shown": self.shown,
+            "silent": sorted(self.silent),
             "history": [record_to_json(r) for r in self.history],
             "states": [record_to_json(r) for r in states],
         }
@@ -129,6 +144,7 @@
         store = cls(history)
         try:
             store.generation, store.floor = int(loaded["generation"]), loaded["floor"]
+            store.shown, store.silent = int(loaded["shown"]), set(loaded["silent"])
             store.history = [record_from_json(r) for r in loaded["history"]]
             records = [record_from_json(r) for r in loaded["states"]]
         except (KeyError, TypeError, ValueError) as error:
@@ -152,10 +168,12 @@
     def state(self, id: str) -> State | None:
         return self.changed[id] if id in self.changed else self.store.states.get(id)
 
+    def latest(self) -> int:
+        return self.records[-1].generation if self.records else self.store.generation
+
     def put(self, id: str, entry: Entry | None, drain: Drain | None) -> State | None:
         """One more record: its number is the time, or one more than the last where the clock is behind."""
-        last = self.records[-1].generation if self.records else self.store.generation
-        record = Record(max(last + 1, self.now_us), id, entry, drain)
+        record = Record(max(self.latest() + 1, self.now_us), id, entry, drain)
         self.records.append(record)
         state = State(record.generation, entry, drain) if entry or drain else None
         self.changed[id] = state
@@ -211,13 +229,21 @@
         return Done(self.put(id, replace(entry, lifecycle=lifecycle), state.drain), True)
 
     def drain(self, id: str, by: str, reason: str, condition: Condition) -> Done:
+        """Staff's drain; with If-None-Match also of an id that is not there yet, as of a machine to come."""
         state = self.state(id)
-        if state is None:
+        if state is None and not condition.absent:
             raise Unknown(f"{id} is not registered")
-        if state.drain is not None and (state.drain.by, state.drain.reason) == (by, reason):
+        if (
+            state is not None
+            and state.drain is not None
+            and (state.drain.by, state.drain.reason) == (by, reason)
+        ):
             return Done(state, False)
+        if condition.list is not None and condition.list != self.latest():
+            raise Conflict(f"the list is at {self.latest()}")
         require(condition, state, state)
-        return Done(self.put(id, state.entry, Drain(by, reason, self.now_us // 1000)), True)
+        entry = state.entry if state else None
+        return Done(self.put(id, entry, Drain(by, reason, self.now_us // 1000)), True)
 
     def known(self, id: str) -> State | None:
         """What there is of an id; of one that is gone nothing, as long as the history tells of it."""
--- a/embersill/interface.py
+++ b/embersill/interface.py
@@ -216,9 +216,14 @@
     """The process before has ended: nothing of it is out any more."""
 
 
+@dataclass(frozen=True, slots=True)
+class Settle:
+    """The gateway has answered all it took and ends: what the counter was not told is to be told now."""
+
+
 Event = (
     Request | BackendList | ClientLeft | StreamBegun | AttemptEnded | Counted | Probed | TimerDue | Suspend
-    | Restore | Inherit | Alone | Uploaded
+    | Restore | Inherit | Alone | Uploaded | Settle
 )
 
 
--- a/embersill/net/clients.py
+++ b/embersill/net/clients.py
@@ -620,6 +620,7 @@
         self.listener: socket.socket | None = None
         self.again: asyncio.Handle | None = None
         self.stopping = False
+        self.leaving = False  # a lame duck: serves all that comes, and says that it is not ready
         self.successor: Callable[[ClientConnection], bool] | None = None  # gives a connection to it
         self.elsewhere = 0  # connections of the process before, which count under the same bound
         self.looker = self.loop.call_later(LOOK_EVERY, self.look)
@@ -631,7 +632,7 @@
             connection.hurry(now)
 
     def is_ready(self) -> bool:
-        return not self.stopping and self.serves()
+        return not (self.stopping or self.leaving) and self.serves()
 
     def listen(self, address: tuple[str, int]) -> None:
         listener = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET)
--- a/embersill/net/driver.py
+++ b/embersill/net/driver.py
@@ -17,7 +17,7 @@
 from embersill.control import Gateway
 from embersill.interface import (
     Action, Alone, AttemptEnded, Backend, BackendList, Cancel, ClientLeft, Count, Counted, Event, Fail,
-    HangUp, Inherit, Outcome, Refuse, Request, Restore, Send, SetTimer, Status, StreamBegun, Suspend,
+    HangUp, Inherit, Outcome, Refuse, Request, Restore, Send, SetTimer, Settle, Status, StreamBegun, Suspend,
     TimerDue, Uploaded,
 )
 from embersill.net.backends import Answer, Attempt, Pool
@@ -32,6 +32,7 @@
 REPORT_EVERY = 10.0  # seconds between lines of figures in the log: one bad stretch shows, and few bytes come
 UPLOAD_WITHIN = 3600.0  # seconds by which the module is told a request ends whose body is still coming: its
 # time starts with the last byte, and the clients' side ends what no longer moves
+LOOK_AGAIN = 0.005  # seconds between looks for the counter's last answers: its patience is some 30 ms
 SCANT = 0.25  # of the budget, at most, that these two may take
 
 log = logging.getLogger("embersill")
@@ -89,6 +90,7 @@
         self.loop = asyncio.get_running_loop()
         self.pending: dict[int, Pending] = {}
         self.unanswered = 0
+        self.counting = 0  # calls of the counter that were not told of yet
         self.taken = 0
         self.all_answered = asyncio.Event()
         self.serving: set[str] = set()  # backends that the list shows as serving
@@ -167,6 +169,7 @@
         self.post(BackendList(listing.kind, tuple(backends)))
 
     def counter_told(self, counted: Counted) -> None:
+        self.counting -= 1
         self.figures.others[f"counter {counted.outcome.value}"] += 1
         self.post(counted)
 
@@ -254,6 +257,7 @@
     def count(self, action: Count) -> None:
         if self.counter is None:
             return self.post(Counted(action.name, Outcome.NO_CONNECTION, 0.0, 0.0))
+        self.counting += 1
         return self.counter.add(action.name, action.amount, action.forget_after)
 
     def hang_up(self, action: HangUp) -> None:
@@ -327,6 +331,17 @@
         self.post(Restore(backend))
         return backend in self.gateway.known
 
+    def out(self, backend: str) -> int:
+        """Attempts that are out there: each has its connection, or waits for one."""
+        return sum(a.backend == backend and not a.ended for p in self.pending.values() for a in p.attempts)
+
+    async def settle(self, at_most: float) -> None:
+        """Tells the counter what it was not told; each call ends with its patience, or is left."""
+        self.post(Settle())
+        end = self.clock() + at_most
+        while self.counting and self.clock() < end:
+            await asyncio.sleep(LOOK_AGAIN)
+
     def hand_over(self) -> dict[str, Any]:
         return self.gateway.hand_over(self.clock())
 
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -10,7 +10,7 @@
 
 from embersill.net.console import MOST_CALLERS, MOST_LINE
 from tests.bed import READY, Bed, request, roomy_settings, run, running
-from tests.peers import SOON, message
+from tests.peers import SOON, Asked, message, serve
 
 
 async def figures(bed: Bed) -> dict[str, Any]:
@@ -144,3 +144,73 @@
             assert not bed.backends[int(taken[1:])].seen
 
     run(test)
+
+
+# draining
+
+
+async def asked(bed: Bed, line: bytes) -> dict[str, Any]:
+    answer = await bed.console(line + b"\n")
+    assert answer.startswith("done "), answer
+    told: dict[str, Any] = json.loads(answer.removeprefix("done "))
+    return told
+
+
+def test_what_is_out_at_a_backend_is_told_with_how_it_is_listed() -> None:
+    async def test() -> None:
+        async with running(backends=2) as bed:
+            free = asyncio.Event()
+
+            async def late(writer: asyncio.StreamWriter, got: Asked) -> None:
+                await free.wait()
+                serve(writer, got)
+
+            for backend in bed.backends:
+                backend.script = [late]
+            client = await bed.client()
+            client.send(request(1))
+            while not bed.seen():
+                await asyncio.sleep(0.001)
+            where = next(n for n, b in enumerate(bed.backends) if b.seen)
+            name = f"b{where}"
+            assert await asked(bed, f"OUT {name}".encode()) == {"state": "serving", "out": 1, "list": 1}
+            assert (await asked(bed, f"OUT b{1 - where}".encode()))["out"] == 0
+            times = len(bed.discovery.asked)
+            await bed.discovery.change(bed.discovery.entry(name, bed.backends[where].address, "DRAINING"))
+            await bed.discovery.until_asked(times + 1)
+            assert await asked(bed, f"OUT {name}".encode()) == {"state": "draining", "out": 1, "list": 2}
+            free.set()
+            assert (await client.answer())[0] == 200
+            assert (await asked(bed, f"OUT {name}".encode()))["out"] == 0
+            await bed.console(f"SUSPEND b{1 - where}\n".encode())
+            assert (await asked(bed, f"OUT b{1 - where}".encode()))["state"] == "taken out"
+            await bed.discovery.change({"instanceId": name, "lifecycle": "DELETED"})
+            await bed.discovery.until_asked(times + 2)
+            assert (await asked(bed, f"OUT {name}".encode()))["state"] == "gone"
+            assert (await asked(bed, b"OUT nobody"))["state"] == "unknown"
+
+    run(test)
+
+
+def test_a_lame_duck_refuses_ready_and_serves_on_until_it_is_taken_back() -> None:
+    async def test() -> None:
+        async with running() as bed:
+            client = await bed.client()
+            told = await asked(bed, b"DRAIN")
+            assert (told["phase"], told["ready"]) == ("lame duck", False)
+            assert (await asked(bed, b"DRAIN"))["phase"] == "lame duck"  # said again, it changes nothing
+            assert (await client.ask(READY))[0] == 503
+            assert (await bed.console(b"STATUS\n")).startswith("error ")
+            status, headers, _ = await client.ask(request(1))
+            assert status == 200 and "connection" not in headers
+            assert (await asked(bed, b"SERVE"))["phase"] == "serving"
+            assert (await client.ask(READY))[0] == 200 and not bed.program.stopped.is_set()
+            assert (await asked(bed, b"SERVE"))["ready"]
+            bed.program.lame_duck = 0.0
+            await asked(bed, b"DRAIN")
+            async with asyncio.timeout(SOON):
+                await bed.program.stopped.wait()
+            assert (await bed.console(b"SERVE\n")).startswith("error it is too late")
+            bed.program.heard_empty.set()  # nobody waits for its last word
+
+    run(test)
--- a/tests/test_directory_gateways.py
+++ b/tests/test_directory_gateways.py
@@ -22,7 +22,9 @@
 class GatewayProcess:
     """One gateway as a process of its own, and the clients' and staff's way to it."""
 
-    def __init__(self, folder: pathlib.Path, number: int, discovery: list[str], counter: str) -> None:
+    def __init__(
+        self, folder: pathlib.Path, number: int, discovery: list[str], counter: str, **more: Any
+    ) -> None:
         self.bed = Bed(0)
         self.bed.port, self.console = free_port(), free_port()
         self.path = folder / f"n{number}.json"
@@ -36,6 +38,7 @@
                     "counter": counter,
                     "console": f"{HOST}:{self.console}",
                     "seed": f"{number:x}",
+                    **more,
                 }
             )
         )
@@ -75,12 +78,12 @@
 
 @asynccontextmanager
 async def gateways(
-    folder: pathlib.Path, discovery: list[str], backends: list[BackendPeer]
+    folder: pathlib.Path, discovery: list[str], backends: list[BackendPeer], **more: Any
 ) -> AsyncIterator[list[GatewayProcess]]:
     counter = CounterPeer()
     for peer in (*backends, counter):
         await peer.start()
-    made = [GatewayProcess(folder, n, discovery, counter.address) for n in range(GATEWAYS)]
+    made = [GatewayProcess(folder, n, discovery, counter.address, **more) for n in range(GATEWAYS)]
     try:
         for gateway in made:
             await gateway.start()
--- a/tests/test_directory_service.py
+++ b/tests/test_directory_service.py
@@ -346,7 +346,7 @@
         async with served(tmp_path) as (program, calls):
             last = 0
             set_clock(program, [1000.0])
-            for number, jump in enumerate((0.0, 86_400.0, -86_400.0, -10**6, 0.0)):
+            for number, jump in enumerate((0.0, 86_400.0, -86_400.0, -(10**6), 0.0)):
                 program.service.wall = lambda jump=jump: time.time() + jump  # type: ignore[misc]
                 version = await calls.register(f"i{number}", leaseMs=1000)
                 assert version > last
@@ -483,6 +483,24 @@
     run(test)
 
 
+def test_a_service_that_lost_its_data_counts_on(tmp_path: pathlib.Path) -> None:
+    async def test() -> None:
+        async with process(tmp_path / "a") as (made, calls):
+            await calls.register("a")
+            at = (await calls.list())["generation"]
+            await made.kill()
+        shutil.rmtree(tmp_path / "a")
+        async with process(tmp_path / "a", port=made.port) as (_, calls):
+            assert (await calls.call("GET", f"/v1/endpoints?since={at}"))[
+                0
+            ] == 503  # it has nobody to tell of
+            await calls.register("b")
+            told = await calls.list(at)
+            assert told["reset"] and told["generation"] > at and ids(told) == {"b": "SERVING"}
+
+    run(test)
+
+
 def test_a_copy_leads_only_where_that_is_said(tmp_path: pathlib.Path) -> None:
     async def test() -> None:
         async with process(tmp_path / "a") as (leader, calls):
--- a/tests/test_directory_store.py
+++ b/tests/test_directory_store.py
@@ -383,3 +383,40 @@
     assert not leases.tick(100.0, 0.5) and not leases.held and leases.given_back == pytest.approx(91.5)
     assert not ticks(leases, 100.0, 101.0)  # the renewals that waited unread have their time
     assert leases.left("i0", 101.0) == pytest.approx(0.5, abs=0.6)
+
+
+# drains of what is not listed, and writes that rest on the whole list
+
+
+def test_a_drain_can_be_set_before_there_is_an_instance_and_readers_hear_nothing_of_it() -> None:
+    store = begun()
+    at = store.generation
+    with pytest.raises(Unknown):
+        does(store, lambda d: d.drain("gateway:n0", "ann", "", Condition(version=at)))
+    assert does(store, lambda d: d.drain("gateway:n0", "ann", "", ABSENT)).changed
+    assert not store.entries() and store.changes(at) == [] and not store.has_news(at)
+    with pytest.raises(Conflict):
+        does(store, lambda d: d.drain("gateway:n0", "bob", "", ABSENT))
+    state = registered(store)
+    assert store.has_news(at) and [e["instanceId"] for e in store.changes(at) or []] == ["a"]
+    again = Store.from_json(json.loads(json.dumps(store.to_json())))
+    assert again.to_json() == store.to_json() and not again.has_news(state.version)
+    assert does(
+        store, lambda d: d.lift("gateway:n0", Condition(version=store.states["gateway:n0"].version))
+    ).changed
+    assert "gateway:n0" not in store.states and not store.has_news(state.version)
+
+
+def test_of_two_drains_that_were_decided_on_one_list_the_second_conflicts() -> None:
+    store = begun()
+    one, two = registered(store, "a"), registered(store, "b", "p2")
+    at = store.generation
+    assert does(store, lambda d: d.drain("a", "ann", "", Condition(version=one.version, list=at))).changed
+    assert not does(store, lambda d: d.drain("a", "ann", "", Condition(version=one.version, list=at))).changed
+    with pytest.raises(Conflict, match="list"):
+        does(store, lambda d: d.drain("b", "bob", "", Condition(version=two.version, list=at)))
+    batch = Draft(store, NOW)  # nor do both pass in one batch
+    at = store.generation
+    batch.lift("a", Condition(version=store.states["a"].version))
+    with pytest.raises(Conflict, match="list"):
+        batch.drain("b", "bob", "", Condition(version=two.version, list=at))
--- a/tests/test_throttle.py
+++ b/tests/test_throttle.py
@@ -7,7 +7,7 @@
 import pytest
 
 from embersill.control import Gateway, Throttle
-from embersill.interface import Count, Counted, Outcome, Plan, Refuse, Send, SetTimer, TimerDue
+from embersill.interface import Count, Counted, Outcome, Plan, Refuse, Send, SetTimer, Settle, TimerDue
 from tests.helpers import CAPPED, PLAN, SETTINGS, Watch, backend, backends, ended, gateway, request
 
 
@@ -191,3 +191,17 @@
                 total += call.amount
                 replies[made.index(one)] = Counted(call.name, Outcome.SERVED, 0.01, total)
         assert 178.0 <= total <= 182.0
+
+
+def test_at_its_end_a_gateway_tells_the_counter_what_it_was_not_told() -> None:
+    plan = Plan("small", 4.0, 7.0, 0, 0.0, 0.0, 1.0, 0.0, 1.0)  # thin: its slice goes by the counter's level
+    made = gateway(plans=(plan,))
+    asked = [a for a in made.handle(request(1), 100.0) if isinstance(a, Count)]
+    made.handle(Counted(asked[0].name, Outcome.SERVED, 0.001, 1.0), 100.0)
+    assert sends(list(made.handle(request(2), 100.05))) == 1  # by the reading at hand, to be told soon
+    told = [a for a in made.handle(Settle(), 100.06) if isinstance(a, Count)]
+    assert [(a.name, a.amount) for a in told] == [(asked[0].name, 1.0)]
+    assert not made.handle(Settle(), 100.07)
+    made.handle(request(3), 100.08)
+    made.hand_over(100.09)
+    assert not made.handle(Settle(), 100.1)  # a successor has it, and tells it
