Let a drained gateway wait for long answers, and close its connections as they fall idle

After a lame duck's time no SIGKILL is due, but the gateway went on as after SIGTERM and cut off after 3.4 s what still ran. It waits now for up to ten minutes, and ends each connection once it was unused for a moment: answers made before the end said nothing of a close.

--- a/embersill/__main__.py
+++ b/embersill/__main__.py
@@ -45,6 +45,8 @@
 ALL_ANSWERED = 3.4  # seconds after SIGTERM by which all is answered: it may be killed 0.3 s later
 LAME_DUCK = 5.0  # seconds of it, where the configuration does not tell: fronts notice in some four
 LAST_WORD = 30.0  # seconds after a drain for which the console is there to tell that nothing is open
+DRAINED_WITHIN = 600.0  # seconds that a drain may wait for what runs: a body of 32 MB at 64 kB a second
+CLOSE_EVERY = 0.02  # seconds between looks for connections that fell idle
 LAST_READ = 0.15  # seconds in which the last connections taken in bring what was already sent on them
 LAST_BYTES = 0.25  # seconds for clients to take what was written to them
 
@@ -244,6 +246,18 @@
         await self.stopped.wait()
         await self.stop()
 
+    async def wait_to_the_end(self) -> None:
+        """After a lame duck's time no kill is due: what runs may take its time, until a signal says else.
+
+        Connections close as they fall idle for a moment, so that no request on its way to one is crossed.
+        """
+        end = self.driver.clock() + DRAINED_WITHIN
+        while self.driver.unanswered or any(not c.closing for c in self.front.connections):
+            if self.signalled.is_set() or self.driver.clock() >= end:
+                return
+            self.front.close_idle()
+            await asyncio.sleep(CLOSE_EVERY)
+
     async def last_word(self) -> None:
         """After a drain staff hear that nothing is open: a console that is only gone could be a crash's."""
         if self.duck is None or self.signalled.is_set():
@@ -300,6 +314,8 @@
             await asyncio.sleep(LAST_READ)
             all_answered -= still_coming + LAST_READ
             self.front.close_idle()
+        if self.duck is not None:
+            await self.wait_to_the_end()
         if not await self.driver.wait_answered(0.0 if self.handover.gave else all_answered):
             self.driver.rescue_all()
         self.front.close_idle()
--- a/tests/bed.py
+++ b/tests/bed.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
+import os
 import socket
 import struct
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -20,6 +22,21 @@
 READY = b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"
 
 
+PORTS = itertools.count(20000 + os.getpid() * 16 % 12000)
+
+
+def free_port() -> int:
+    """A port for a process that is started later: below those that connections get, as one might take it."""
+    while True:
+        port = 20000 + next(PORTS) % 12000
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        return port
+
+
 def run(test: Callable[[], Awaitable[None]]) -> None:
     async def bounded() -> None:
         async with asyncio.timeout(3 * SOON):
--- a/tests/test_directory_gateways.py
+++ b/tests/test_directory_gateways.py
@@ -6,12 +6,11 @@
 import json
 import os
 import pathlib
-import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import Any
 
-from tests.bed import READY, Bed, Client, request, roomy_settings
+from tests.bed import READY, Bed, Client, free_port, request, roomy_settings
 from tests.lists import Caller, Process, caller, process, run
 from tests.peers import HOST, SOON, BackendPeer, CounterPeer
 from tests.test_program import ROOT, RUN, until_ready
@@ -69,13 +68,6 @@
                 await asyncio.sleep(0.01)
 
 
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        port: int = probe.getsockname()[1]
-        return port
-
-
 @asynccontextmanager
 async def gateways(
     folder: pathlib.Path, discovery: list[str], backends: list[BackendPeer], **more: Any
--- a/tests/test_ops_real.py
+++ b/tests/test_ops_real.py
@@ -12,10 +12,10 @@
 
 import pytest
 
-from tests.bed import READY, request
+from tests.bed import READY, free_port, request
 from tests.lists import Caller, process, run
 from tests.peers import HOST, SOON, Asked, BackendPeer, Peer, read_message
-from tests.test_directory_gateways import GatewayProcess, Load, free_port, gateways
+from tests.test_directory_gateways import GatewayProcess, Load, gateways
 from tests.test_program import ROOT, until_ready
 
 BACKENDS = 4
@@ -315,3 +315,58 @@
             assert await fleet.lifecycle("b0") == "DRAINING"
 
     run(test)
+
+
+def test_a_gateway_that_is_cut_off_is_named_until_it_is_back(tmp_path: pathlib.Path) -> None:
+    async def test() -> None:
+        async with site(tmp_path) as fleet:
+            cut = fleet.gateways[2]
+            cut.child.send_signal(signal.SIGSTOP)
+            code, _, err = await fleet.ops("drain", "backend", "b0", "--wait", "--timeout", "3")
+            assert (
+                code == 4 and "b0 at n2: can't be asked" in err and "b0 at n1" not in err.splitlines()[-1]
+            ), err
+            cut.child.send_signal(signal.SIGCONT)
+            assert (await fleet.ops("drain", "backend", "b0", "--wait"))[0] == 0
+
+    run(test)
+
+
+def test_a_gateway_started_again_during_the_drain_is_asked_anew(tmp_path: pathlib.Path) -> None:
+    async def test() -> None:
+        async with site(tmp_path) as fleet:
+            child = await fleet.start(
+                "drain", "backend", "b0", "--wait", "--state", str(fleet.folder / "state")
+            )
+            assert child.stderr is not None
+            while b"is marked" not in await child.stderr.readline():
+                pass
+            fleet.gateways[2].child.kill()
+            await fleet.gateways[2].child.wait()
+            await fleet.gateways[2].start()
+            _, err = await child.communicate()
+            assert child.returncode == 0, err
+            await until_ready(fleet.gateways[2].bed)
+            client = await fleet.gateways[2].bed.client()
+            for number in range(20):
+                assert (await client.ask(request(number)))[0] == 200
+            assert not fleet.backends[0].seen
+
+    run(test)
+
+
+def test_a_backend_that_comes_back_as_another_process_stays_drained(tmp_path: pathlib.Path) -> None:
+    async def test() -> None:
+        async with site(tmp_path) as fleet:
+            assert (await fleet.ops("drain", "backend", "b0", "--wait"))[0] == 0
+            await fleet.calls.register("b0", fleet.backends[0].address, process="another", zone="z")
+            assert await fleet.lifecycle("b0") == "DRAINING"
+            _, shown, _ = await fleet.calls.call("GET", "/v1/instances/b0")
+            await fleet.calls.call("DELETE", "/v1/instances/b0", match=shown["version"])
+            code, _, err = await fleet.ops(
+                "drain", "backend", "b0", "--wait"
+            )  # gone half-way: still asked about
+            assert code == 0, err
+            assert (await fleet.ops("undrain", "backend", "b0"))[0] == 0
+
+    run(test)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -9,16 +9,16 @@
 import resource
 import shlex
 import signal
-import socket
 import subprocess
 import sys
+import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import Any
 
 import pytest
 
-from tests.bed import READY, Bed, Client, request, roomy_settings, run
+from tests.bed import READY, Bed, Client, free_port, request, roomy_settings, run
 from tests.peers import HOST, SOON, Asked, DiscoveryPeer, serve
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -65,17 +65,17 @@
 
 
 @asynccontextmanager
-async def process(tmp_path: pathlib.Path, descriptors: int = 0) -> AsyncIterator[tuple[Bed, Any]]:
+async def process(
+    tmp_path: pathlib.Path, descriptors: int = 0, **more: Any
+) -> AsyncIterator[tuple[Bed, Any]]:
     """The program as a process of its own, with the peers in this one."""
     bed = Bed(1)
     for peer in (*bed.backends, bed.discovery, bed.counter):
         await peer.start()
     bed.discovery.entries = {"b0": bed.discovery.entry("b0", bed.backends[0].address)}
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        bed.port = probe.getsockname()[1]
+    bed.port = free_port()
     path = tmp_path / "config.json"
-    path.write_text(json.dumps({**bed.told(roomy_settings(), 1024), "listen": f"{HOST}:{bed.port}"}))
+    path.write_text(json.dumps({**bed.told(roomy_settings(), 1024), "listen": f"{HOST}:{bed.port}", **more}))
 
     def limit() -> None:
         if descriptors:
@@ -184,3 +184,100 @@
             assert child.returncode is None
 
     run(test)
+
+
+# the ends of a process
+
+
+async def drained(console: int, line: bytes = b"DRAIN\n") -> dict[str, Any]:
+    reader, writer = await asyncio.open_connection(HOST, console)
+    writer.write(line)
+    async with asyncio.timeout(SOON):
+        word, _, told = (await reader.read()).decode().partition(" ")
+    writer.close()
+    assert word == "done", told
+    loaded: dict[str, Any] = json.loads(told)
+    return loaded
+
+
+def test_a_drained_gateway_waits_for_a_long_answer_and_serves_what_was_sent_behind_it(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def test() -> None:
+        console = free_port()
+        async with process(tmp_path, console=f"{HOST}:{console}", lame_duck_s=0.2) as (bed, child):
+            ended = asyncio.Event()
+
+            async def drips(writer: asyncio.StreamWriter, got: Asked) -> None:
+                writer.write(b"HTTP/1.1 200 X\r\nContent-Length: 100000\r\n\r\n" + b"x" * 80_000)
+                left = 20_000
+                while not ended.is_set():
+                    writer.write(b"x" * 10)
+                    left -= 10
+                    await asyncio.sleep(0.05)
+                writer.write(b"x" * left)
+
+            bed.backends[0].script = [drips]
+            client, late = await bed.client(), await bed.client()
+            client.send(request(1) + request(2) + request(3))  # pipelined
+            await bed.backends[0].until(lambda: len(bed.backends[0].seen) >= 1)
+            assert (await drained(console))["phase"] == "lame duck"
+            assert (await late.ask(request(4)))[0] == 200  # it serves on
+            while (await drained(console, b"PHASE\n"))["phase"] == "lame duck":
+                await asyncio.sleep(0.02)
+            await asyncio.sleep(4.0)  # longer than a SIGTERM leaves: no kill is due after a drain
+            assert (await drained(console, b"PHASE\n"))["phase"] == "closing" and child.returncode is None
+            ended.set()
+            answers = [await client.answer() for _ in range(3)]
+            assert [status for status, _, _ in answers] == [200] * 3 and len(answers[0][2]) == 100_000
+            assert await client.closed()
+            while (told := await drained(console, b"PHASE\n"))["phase"] != "empty":
+                await asyncio.sleep(0.02)
+            assert told["open"] == 0
+            async with asyncio.timeout(SOON):
+                assert await child.wait() == 0
+
+    run(test)
+
+
+def test_a_sigterm_ends_a_lame_duck_and_its_last_word_at_once(tmp_path: pathlib.Path) -> None:
+    async def test() -> None:
+        console = free_port()
+        async with process(tmp_path, console=f"{HOST}:{console}", lame_duck_s=600) as (bed, child):
+            assert (await drained(console))["phase"] == "lame duck"
+            assert (await (await bed.client()).ask(request(1)))[0] == 200
+            child.send_signal(signal.SIGTERM)
+            child.send_signal(signal.SIGTERM)  # and a second one changes nothing
+            async with asyncio.timeout(SOON):
+                assert await child.wait() == 0
+
+    run(test)
+
+
+def test_a_sigterm_during_a_reload_ends_well(tmp_path: pathlib.Path) -> None:
+    async def test() -> None:
+        async with process(tmp_path) as (bed, child):
+            path = tmp_path / "config.json"
+            moved = json.loads(path.read_text()) | {"discovery": f"{HOST}:{free_port()}"}
+            path.write_text(json.dumps(moved))
+            child.send_signal(signal.SIGHUP)
+            child.send_signal(signal.SIGTERM)
+            async with asyncio.timeout(SOON):
+                assert await child.wait() == 0
+
+    run(test)
+
+
+def test_a_sigterm_at_any_moment_of_the_start_ends_it(tmp_path: pathlib.Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps({**told(), "listen": f"{HOST}:{free_port()}"}))
+    for step in range(12):
+        child = subprocess.Popen(["/bin/sh", "-c", RUN], cwd=ROOT, stderr=subprocess.PIPE, text=True,
+                                 env={**os.environ, "RELAY_CONFIG": str(path)})
+        try:
+            time.sleep(0.05 * step)  # wherever it is by then: it must end, and not by an error of its own
+            child.terminate()
+            _, err = child.communicate(timeout=SOON)
+        finally:
+            child.kill()
+        assert child.returncode in (0, -signal.SIGTERM) and "Traceback" not in err, err
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -409,3 +409,41 @@
         made.handle(Restore("b"), 101.0)
         due.append(made.greet["b"] - 101.0)
     assert max(sum(start <= d < start + 2.0 for d in due) for start in due) <= 24 and max(due) < 4.0
+
+
+def test_a_keyed_repeat_stays_in_its_cell_also_when_the_last_other_member_drains() -> None:
+    made = gateway(listed=backends(backend("a"), backend("b"), backend("c", 1)))
+    watch = Watch(made)
+    watch.listed = {b.address: b for b in (backend("a"), backend("b"), backend("c", 1))}
+    watch.tell(request(1, "keyed"))
+    while not watch.sent.get(1):
+        watch.run_to(watch.now + 0.1)
+    where = watch.sent[1][0][0]
+    if where == "c":
+        gone = [backend("c", 1, Status.DRAINING)]
+    else:
+        gone = [backend(x, 0, Status.DRAINING) for x in "ab"]
+    watch.tell(backends(*gone, kind=ListKind.CHANGES))
+    actions = watch.tell(ended(1, 0, where, Outcome.BROKEN, over=False))
+    assert len(watch.sent[1]) == 1 and any(isinstance(a, Fail) for a in actions)  # it may have run there
+
+
+def test_a_class_that_may_not_be_repeated_is_not_when_its_backend_drains() -> None:
+    watch = Watch(gateway())
+    watch.listed = {b.address: b for b in (backend("a"), backend("b", 1))}
+    watch.tell(request(1, "pay"))
+    where = watch.sent[1][0][0]
+    watch.tell(backends(backend(where, int(where == "b"), Status.DRAINING), kind=ListKind.CHANGES))
+    actions = watch.tell(ended(1, 0, where, Outcome.BROKEN, over=False))
+    assert len(watch.sent[1]) == 1 and any(isinstance(a, Fail) for a in actions)
+
+
+def test_a_backend_that_is_undrained_is_cold_unless_the_same_process_runs_on() -> None:
+    made = gateway(now=1000.0, listed=backends(backend("a", started=500.0), backend("b", 1)))
+    made.servers["a"].limit = 3.5  # learned
+    for started, warm in ((500.0, True), (1010.0, False)):
+        made.handle(backends(backend("a", 0, Status.DRAINING, started), kind=ListKind.CHANGES), 1010.0)
+        assert made.servers["a"] not in made.order
+        made.handle(backends(backend("a", 0, Status.SERVING, started), kind=ListKind.CHANGES), 1011.0)
+        share = made.servers["a"].cold_share(1011.0, SETTINGS)
+        assert (share == 1.0, made.servers["a"].limit == 3.5) == (warm, warm)
