--- a/embersill/ops/__main__.py
+++ b/embersill/ops/__main__.py
@@ -39,7 +39,7 @@
         command.add_argument("target", metavar="ID", help="the backend's id, the gateway's or machine's name")
         command.add_argument("--dry-run", action="store_true", help="check and tell, change nothing")
         command.add_argument("--json", action="store_true", help="one JSON object on standard output")
-        command.add_argument("--by", default=getpass.getuser(), help="who does it (default %(default)s)")
+        command.add_argument("--by", type=remark, default=who(), help="who does it (default %(default)s)")
         command.add_argument(
             "--state",
             type=pathlib.Path,
@@ -57,12 +57,26 @@
                 help="of --wait; all stays as it is then (default %(default)s)",
             )
             command.add_argument("--force", action="store_true", help="also where a guard refuses")
-            command.add_argument("--reason", default="", help="kept with the mark")
+            command.add_argument("--reason", type=remark, default="", help="kept with the mark")
     status = commands.add_parser("status", help="what serves, drains, or can't be asked")
     status.add_argument("--json", action="store_true", help="one JSON object on standard output")
     return made
 
 
+def remark(text: str) -> str:
+    """What goes with a mark: the list service takes no more than this."""
+    if len(text) > 150 or not text.isprintable():
+        raise argparse.ArgumentTypeError(f"{text[:40]!r} is no line of up to 150 printable characters")
+    return text
+
+
+def who() -> str:
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):  # a user without a name, as in a bare container
+        return f"uid {os.getuid()}"
+
+
 def seconds(text: str) -> float:
     try:
         value = float(text)
--- a/tests/test_ops_real.py
+++ b/tests/test_ops_real.py
@@ -288,6 +288,8 @@
             (("undrain", "backend", "b0"), 5),
             (("status",), 5),
             (("drain", "rack", "r0"), 2),
+            (("drain", "backend", "b0", "--by", "a\nb"), 2),
+            (("drain", "backend", "b0", "--reason", "x" * 200), 2),
             (("drain", "backend", "b0", "--timeout", "-1"), 2),
         ):
             found, _, err = await fleet.ops(*words)
