--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -214,3 +214,24 @@
             bed.program.heard_empty.set()  # nobody waits for its last word
 
     run(test)
+
+
+def test_a_drain_does_not_wait_for_a_client_that_never_reads(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        monkeypatch.setattr("embersill.net.clients.STUCK", 0.2)
+        async with running() as bed:
+            bed.backends[0].script = [lambda writer, got: writer.write(message(200, b"x" * 8_000_000))]
+            deaf = await bed.client(receive_buffer=4096)
+            deaf.writer.transport.pause_reading()  # type: ignore[attr-defined]
+            deaf.send(request(1))
+            await bed.backends[0].until(lambda: len(bed.backends[0].seen) == 1)
+            bed.program.lame_duck = 0.0
+            await asked(bed, b"DRAIN")
+            await bed.program.stopped.wait()
+            bed.program.heard_empty.set()
+            async with asyncio.timeout(SOON):
+                await bed.program.stop()
+            assert bed.program.phase == "empty" and not bed.program.driver.unanswered
+            deaf.writer.transport.abort()
+
+    run(test)
--- a/tests/test_directory_service.py
+++ b/tests/test_directory_service.py
@@ -661,3 +661,44 @@
                 assert status == 200
 
     run(test)
+
+
+def test_a_drain_that_was_decided_on_an_older_list_is_refused(tmp_path: pathlib.Path) -> None:
+    async def test() -> None:
+        async with served(tmp_path) as (program, calls):
+            one, two = await calls.register("a"), await calls.register("b")
+            at = (await calls.list())["generation"]
+            body = {"by": "ann"}
+            path = "/v1/instances/{}/drain"
+            for wrong in ("7", '"x"', '"' + "9" * 30 + '"'):
+                status, _, _ = await calls.call(
+                    "PUT", path.format("a"), body, match=one, headers={"List-Match": wrong}
+                )
+                assert status == 400
+            known = {"List-Match": f'"{at}"'}
+            assert (await calls.call("PUT", path.format("a"), body, match=one, headers=known))[0] == 200
+            status, told, _ = await calls.call("PUT", path.format("b"), body, match=two, headers=known)
+            assert status == 412 and "the list is at" in told["error"]
+            assert ids(await calls.list()) == {"a": "DRAINING", "b": "SERVING"}
+            status, told, _ = await calls.call("PUT", path.format("gateway:n0"), body, absent=True)
+            assert status == 200 and "gateway:n0" not in ids(await calls.list())
+
+    run(test)
+
+
+def test_the_log_is_made_a_snapshot_as_it_grows_and_readers_notice_nothing(tmp_path: pathlib.Path) -> None:
+    async def test() -> None:
+        async with served(tmp_path) as (program, calls):
+            program.service.log.compact_at = 600
+            await calls.register("first")
+            at = (await calls.list())["generation"]
+            for number in range(20):
+                await calls.register(f"i{number}")
+            assert (tmp_path / "snapshot").exists() and program.service.log.size < 1200
+            known = program.service.store.to_json()
+        async with served(tmp_path) as (program, calls):
+            told = await calls.list(at)  # from before the snapshot: the history went with it
+            assert not told["reset"] and len(told["instances"]) == 20
+            assert program.service.store.to_json()["states"] == known["states"]
+
+    run(test)
