--- a/embersill/directory/service.py
+++ b/embersill/directory/service.py
@@ -93,6 +93,8 @@
         self.figures: Tally[str] = Tally()
         self.stopping = asyncio.Event()
         self.tasks: list[asyncio.Task[None]] = []
+        self.writing: asyncio.Task[None] | None = None  # a batch on its way to the disk
+        self.disk: asyncio.Future[None] | None = None  # what the disk is at
 
     # start and stop
 
@@ -129,7 +131,8 @@
             self.writes.get_nowait()[1].set_exception(Stopped())
         for task in self.tasks:
             task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        ending = [t for t in (*self.tasks, self.writing, self.disk) if t is not None]
+        await asyncio.gather(*ending, return_exceptions=True)
         self.log.close()
 
     def role(self) -> str:
@@ -228,7 +231,8 @@
             batch = [await self.writes.get()]
             while len(batch) < MOST_BATCH and not self.writes.empty():
                 batch.append(self.writes.get_nowait())
-            await asyncio.shield(self.write_batch(batch))
+            self.writing = asyncio.create_task(self.write_batch(batch))
+            await asyncio.shield(self.writing)
 
     async def write_batch(self, batch: list[tuple[Write, asyncio.Future[Done]]]) -> None:
         draft = Draft(self.store, self.now_us())
@@ -255,8 +259,13 @@
                 future.set_result(done)
         await self.compact_if_due()
 
+    async def on_disk(self, call: Callable[..., None], content: Any) -> None:
+        """In a thread, one call at a time; a thread can't be called off, so the end waits for it."""
+        self.disk = asyncio.get_running_loop().run_in_executor(None, call, content)
+        await asyncio.shield(self.disk)
+
     async def store_batch(self, records: list[Record]) -> None:
-        await asyncio.get_running_loop().run_in_executor(None, self.log.append, records)
+        await self.on_disk(self.log.append, records)
         self.store.apply(records)
         for record in records:
             self.lease_record(record)
@@ -266,7 +275,7 @@
         if self.log.due():
             content = self.store.to_json()
             try:
-                await asyncio.get_running_loop().run_in_executor(None, self.log.compact, content)
+                await self.on_disk(self.log.compact, content)
             except NotWritten as error:
                 log.error("no snapshot was made: %s", error)
 
@@ -297,7 +306,7 @@
                 f"the leader's list, at {store.generation}, is older than this copy, at "
                 f"{self.store.generation}: it was restored, or another leads"
             )
-        await asyncio.get_running_loop().run_in_executor(None, self.log.compact, content)
+        await self.on_disk(self.log.compact, content)
         self.store = self.log.store = store
         self.publish_soon()
 
--- a/tests/test_directory_service.py
+++ b/tests/test_directory_service.py
@@ -10,6 +10,7 @@
 import socket
 import subprocess
 import sys
+import threading
 import time
 from typing import Any
 
@@ -702,3 +703,31 @@
             assert program.service.store.to_json()["states"] == known["states"]
 
     run(test)
+
+
+def test_the_end_waits_for_what_the_disk_is_at(tmp_path: pathlib.Path) -> None:
+    """Found by a snapshot that was being made while the service ended: the next start took its file away."""
+
+    async def test() -> None:
+        async with served(tmp_path) as (program, calls):
+            log, at_it, go = program.service.log, threading.Event(), threading.Event()
+            append = log.append
+
+            def slow(records: Any) -> None:
+                at_it.set()
+                assert go.wait(SOON)
+                append(records)
+
+            log.append = slow  # type: ignore[method-assign]
+            write = asyncio.create_task(calls.call("PUT", "/v1/instances/a", GOOD, absent=True))
+            assert await asyncio.to_thread(at_it.wait, SOON)
+            ending = asyncio.create_task(program.service.stop())
+            await asyncio.sleep(0.05)
+            assert not ending.done()
+            go.set()
+            await ending
+            assert (await write)[0] == 201
+        async with served(tmp_path) as (program, calls):
+            assert ids(await calls.list()) == {"a": "SERVING"}
+
+    run(test)
