--- a/embersill/net/backends.py
+++ b/embersill/net/backends.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import select
+from collections import Counter as Tally
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import cast
@@ -336,6 +337,7 @@
         self.pool.closed(self)
         attempt, self.attempt = self.attempt, None
         if attempt is not None:
+            self.pool.figures["pool broke reused" if self.idled else "pool broke new"] += 1
             if self.idled and self.pool.clock() - attempt.sent_at < AT_ONCE:
                 self.pool.broke(self.backend, self.idled)
             # an unsent rest proves that the backend never had the whole; a write that went through proves
@@ -370,6 +372,7 @@
         self.elsewhere = 0  # connections of the process before, which count under the same bound
         self.keeping = True  # connections are kept for the next attempt
         self.written = 0  # attempts that were written whole
+        self.figures: Tally[str] = Tally()  # what became of connections, since the start
         self.sweeper = self.loop.call_later(SWEEP_EVERY, self.sweep)
 
     def set_address(self, backend: str, address: tuple[str, int], started: float | None = None) -> None:
@@ -419,10 +422,13 @@
             connection.idled = now - connection.idle_since
             fresh = connection.idled < self.borne.get(attempt.backend, self.idle_limit)
             if fresh and connection.usable() and connection.is_quiet():
+                self.figures["pool reused"] += 1
                 return connection.send(attempt, max(attempt.until - now, 0.001))
+            self.figures["pool stale" if fresh else "pool aged"] += 1
             connection.close()
         address = self.addresses.get(attempt.backend)
         if address is None or not self.has_room():
+            self.figures["pool no room"] += 1
             return attempt.end(Answer(Outcome.NO_CONNECTION))
         self.dialling.add(attempt)
         attempt.dial = self.loop.create_task(self.connect(attempt, address))
@@ -460,6 +466,8 @@
         finally:
             self.dialling.discard(attempt)
             attempt.dial = None
+            self.figures["pool opened" if up else "pool open failed"] += 1
+            self.figures["pool waited ms"] += round(1000 * (self.clock() - attempt.sent_at))
             if not up or attempt.ended:
                 made.close()  # also where the attempt ended just as its connection came up
         if up and not attempt.ended:
@@ -474,6 +482,7 @@
         self.connections.discard(connection)
         line = self.idle.get(connection.backend)
         if line is not None and connection in line:
+            self.figures["pool closed idle"] += 1
             line.remove(connection)
 
     def put_back(self, connection: BackendConnection) -> None:
@@ -490,6 +499,7 @@
             connection.look(now)
         for line in self.idle.values():
             while line and line[0].idle_since < before:
+                self.figures["pool aged"] += 1
                 line.pop(0).close()
         self.sweeper = self.loop.call_later(SWEEP_EVERY, self.sweep)
 
--- a/embersill/net/driver.py
+++ b/embersill/net/driver.py
@@ -308,7 +308,8 @@
     def report(self) -> None:
         """One line of figures for the operator: what ended since the last one, how, and what is open."""
         self.reporter = self.loop.call_later(REPORT_EVERY, self.report)
-        text = self.figures.since(Tally({f"gave up {why}": n for why, n in self.gateway.given_up.items()}))
+        given_up = Tally({f"gave up {why}": n for why, n in self.gateway.given_up.items()})
+        text = self.figures.since(given_up, self.pool.figures)
         if text:
             listed, down = len(self.gateway.servers), self.gateway.down()
             age = f", list {self.list_age():.0f} s old" if self.list_age else ""
--- a/embersill/net/figures.py
+++ b/embersill/net/figures.py
@@ -21,9 +21,9 @@
         kind = "success" if status == 200 else "busy" if status in (429, 503) else "failure"
         self.ended[kind][klass] += 1
 
-    def since(self, more: Tally[str]) -> str:
-        """What has come since it was last asked, in words; `more` is told along with it."""
-        totals = self.others + Tally({kind: sum(by.values()) for kind, by in self.ended.items()})
+    def since(self, more: Tally[str], others: Tally[str]) -> str:
+        """What has come since it was last asked, in words, of `others` too; `more` is told along with it."""
+        totals = self.others + others + Tally({kind: sum(by.values()) for kind, by in self.ended.items()})
         news = totals - self.told + more
         self.told = totals
         return ", ".join(f"{name} {number}" for name, number in sorted(news.items()))
