Pass a lame duck on to its successor, and close no connection across a request

An upgrade during a drain lost the drain: the successor served under the same name while the procedure, which asked the old console, called the gateway ended. The hand-over now carries the time that is left, the old console names the successor's, and the procedure follows it, for gateways and for backends alike; one that closes already hands nothing over and says who came. At the end of a lame duck's time and after SIGTERM a connection with unread bytes is read before it is closed: a request in the kernel was closed on.

--- a/embersill/__main__.py
+++ b/embersill/__main__.py
@@ -28,6 +28,7 @@
 )
 from embersill.net.driver import Driver
 from embersill.net.handover import Handover
+from embersill.net.lameduck import LameDuck
 from embersill.settings import Limits, read_limits, read_settings
 
 RESERVE = 48 + MOST_CALLERS  # descriptors kept for the listeners, discovery, the counter, the console's
@@ -45,6 +46,7 @@
 ALL_ANSWERED = 3.4  # seconds after SIGTERM by which all is answered: it may be killed 0.3 s later
 LAME_DUCK = 5.0  # seconds of it, where the configuration does not tell: fronts notice in some four
 LAST_WORD = 30.0  # seconds after a drain for which the console is there to tell that nothing is open
+LAST_WORD_HANDED = 1.0  # and to tell where a lame duck's successor is: an upgrade's kill may be near
 DRAINED_WITHIN = 600.0  # seconds that a drain may wait for what runs: a body of 32 MB at 64 kB a second
 CLOSE_EVERY = 0.02  # seconds between looks for connections that fell idle
 LAST_READ = 0.15  # seconds in which the last connections taken in bring what was already sent on them
@@ -151,17 +153,17 @@
         room = max(told.memory_mb * MB - BASE_MEMORY, 0) * BODIES_PART / (2 * clients)
         share = int(min(max(room, LEAST_SHARE), MOST_SHARE))
         self.front = Front(self.driver, told.settings, clock, clients, self.serves, share)
-        self.handover = Handover(told.folder, self.driver, self.front)
+        self.stopped = asyncio.Event()  # it is to end, by a signal or at the end of a lame duck's time
+        self.duck = LameDuck(clock, self.front, self.stopped.set)
+        self.handover = Handover(told.folder, self.driver, self.front, self.duck)
         self.listen, self.console_at = told.listen, told.console
         self.console = Console({
             "STATUS": self.status, "METRICS": self.metrics, "SUSPEND": self.suspend, "RESTORE": self.restore,
             "OUT": self.out, "PHASE": self.phase_now, "DRAIN": self.drain, "SERVE": self.serve_again})
         self.lame_duck, self.started = told.lame_duck, clock()
-        self.phase = "serving"  # lame duck, closing, empty
-        self.stopped = asyncio.Event()  # it is to end, by a signal or at the end of a lame duck's time
+        self.empty = False  # nothing is open any more, and only the console is left
         self.signalled = asyncio.Event()
-        self.heard_empty = asyncio.Event()  # staff were told that nothing is open any more
-        self.duck: asyncio.TimerHandle | None = None
+        self.heard_last = asyncio.Event()  # staff were told that nothing is open any more, or of a successor
         self.following: asyncio.Task[None] | None = None
         self.settled = False  # the list is discovery's own, or as good as can be had
 
@@ -172,10 +174,12 @@
 
     async def status(self, words: list[str]) -> str:
         without_id(words)
+        left = self.duck.left()
+        if left is not None and not self.front.stopping:
+            raise Refused(f"a lame duck, which ends in {left:.1f} s")
         if not self.front.is_ready():
             raise Refused("stopping" if self.front.stopping else "not ready to serve")
-        if self.handover.gave:
-            raise Refused("handed over to a successor")
+        self.not_handed_over()
         return "done ready to serve"
 
     async def metrics(self, words: list[str]) -> str:
@@ -202,37 +206,54 @@
         backend = only_id(words)
         told = {"state": self.driver.gateway.standing(backend), "out": self.driver.out(backend),
                 "list": self.discovery.newest}
+        return self.done(told)
+
+    def done(self, told: dict[str, Any]) -> str:
+        """An answer of one JSON object; staff go on to the successor that it names."""
+        if self.handover.successor:
+            told["successor"] = self.handover.successor
         return f"done {json.dumps(told)}"
 
+    def phase(self) -> str:
+        if self.handover.gave:
+            return "handed over"
+        if self.front.stopping:
+            return "empty" if self.empty else "closing"
+        return "serving" if self.duck.until is None else "lame duck"
+
     async def phase_now(self, words: list[str]) -> str:
         without_id(words)
-        if self.phase == "empty":
-            self.heard_empty.set()
-        told = {"phase": self.phase, "open": self.driver.unanswered, "ready": self.front.is_ready(),
-                "clients": len(self.front.connections), "started": self.started}
-        return f"done {json.dumps(told)}"
+        if self.empty or self.handover.gave:
+            self.heard_last.set()
+        return self.done({
+            "phase": self.phase(), "open": self.driver.unanswered, "ready": self.front.is_ready(),
+            "clients": len(self.front.connections), "started": self.started})
 
     async def drain(self, words: list[str]) -> str:
         """Begins a lame duck's time, once: it may be said again."""
         without_id(words)
-        if self.handover.gave:
-            raise Refused("handed over to a successor")
-        if self.phase == "serving" and not self.stopped.is_set():
-            self.phase, self.front.leaving = "lame duck", True
-            self.duck = self.loop.call_later(self.lame_duck, self.stopped.set)
+        self.not_handed_over()
+        if self.phase() == "serving" and not self.stopped.is_set():
+            self.duck.set(self.lame_duck)
+            self.handover.tell_duck()
             log.info("a lame duck for %.1f s, then it ends", self.lame_duck)
         return await self.phase_now([])
 
     async def serve_again(self, words: list[str]) -> str:
         without_id(words)
+        self.not_handed_over()
         if self.stopped.is_set():
             raise Refused("it is too late, the process ends")
-        if self.duck is not None:
-            self.duck.cancel()
-            self.duck, self.phase, self.front.leaving = None, "serving", False
+        if self.duck.until is not None:
+            self.duck.set(None)
+            self.handover.tell_duck()
             log.info("no lame duck any more")
         return await self.phase_now([])
 
+    def not_handed_over(self) -> None:
+        if self.handover.gave:
+            raise Refused(f"handed over to a successor {self.handover.successor}".rstrip())
+
     def end(self) -> None:
         self.signalled.set()
         self.stopped.set()
@@ -246,31 +267,36 @@
         await self.stopped.wait()
         await self.stop()
 
-    async def wait_to_the_end(self) -> None:
-        """After a lame duck's time no kill is due: what runs may take its time, until a signal says else.
+    async def wait_to_the_end(self, at_most: float, signal_ends: bool = False) -> None:
+        """Waits until all is answered and each connection was closed as it fell idle.
 
-        Connections close as they fall idle for a moment, so that no request on its way to one is crossed.
+        One on which something has come is read first, so that no request is crossed.
         """
-        end = self.driver.clock() + DRAINED_WITHIN
-        while self.driver.unanswered or any(not c.closing for c in self.front.connections):
-            if self.signalled.is_set() or self.driver.clock() >= end:
+        end = self.driver.clock() + at_most
+        while not self.front.close_unasked() or self.driver.unanswered:
+            if signal_ends and self.signalled.is_set() or self.driver.clock() >= end:
                 return
-            self.front.close_idle()
             await asyncio.sleep(CLOSE_EVERY)
 
     async def last_word(self) -> None:
-        """After a drain staff hear that nothing is open: a console that is only gone could be a crash's."""
-        if self.duck is None or self.signalled.is_set():
+        """After a drain staff hear that nothing is open, or of the successor that goes on with it.
+
+        A console that is only gone could be a crash's.
+        """
+        handed = self.handover.gave
+        if self.duck.until is None or self.signalled.is_set() and not handed:
             return
-        waits = [self.loop.create_task(event.wait()) for event in (self.signalled, self.heard_empty)]
-        await asyncio.wait(waits, timeout=LAST_WORD, return_when=asyncio.FIRST_COMPLETED)
+        events = (self.heard_last,) if handed else (self.signalled, self.heard_last)
+        waits = [self.loop.create_task(event.wait()) for event in events]
+        within = LAST_WORD_HANDED if handed else LAST_WORD
+        await asyncio.wait(waits, timeout=within, return_when=asyncio.FIRST_COMPLETED)
         for wait in waits:
             wait.cancel()
         await asyncio.sleep(LAST_READ)  # for the answer to go out
 
     async def start(self) -> None:
         if self.console_at is not None:
-            await self.console.listen(self.console_at)
+            self.handover.console = await self.console.listen(self.console_at)
         succeeds = self.handover.find()
         if not succeeds:
             self.front.listen(self.listen)
@@ -304,7 +330,6 @@
     async def stop(self, still_coming: float = STILL_COMING, all_answered: float = ALL_ANSWERED) -> None:
         """Takes what still comes, answers all of it, and leaves nothing behind."""
         self.front.stopping = True
-        self.phase = "closing"
         if self.handover.gave:
             await self.front.wait_moved(all_answered)
             self.front.stop_listening()
@@ -313,11 +338,10 @@
             self.front.stop_listening()
             await asyncio.sleep(LAST_READ)
             all_answered -= still_coming + LAST_READ
-            self.front.close_idle()
-        if self.duck is not None:
-            await self.wait_to_the_end()
-        if not await self.driver.wait_answered(0.0 if self.handover.gave else all_answered):
-            self.driver.rescue_all()
+            if self.duck.until is not None:  # no kill is due
+                await self.wait_to_the_end(DRAINED_WITHIN, signal_ends=True)
+            await self.wait_to_the_end(all_answered)
+        self.driver.rescue_all()
         self.front.close_idle()
         await asyncio.gather(self.front.wait_drained(LAST_BYTES), self.driver.settle(LAST_BYTES))
         self.front.close()
@@ -330,7 +354,7 @@
         if self.driver.counter is not None:
             self.driver.counter.close()
         self.handover.close()
-        self.phase = "empty"
+        self.empty = True
         await self.last_word()
         self.console.close()
 
--- a/embersill/net/backends.py
+++ b/embersill/net/backends.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import select
 from collections import Counter as Tally
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
@@ -16,7 +15,7 @@
 import httptools
 
 from embersill.interface import Outcome
-from embersill.net.bodies import READ, WHOLE, Sink, Upload
+from embersill.net.bodies import READ, WHOLE, Sink, Upload, is_readable
 
 PASS_AFTER = 0.2  # seconds from which an answer of unknown length goes on, though it may turn out a short one
 STALLED = 10.0  # seconds without a byte, of an answer that goes on or to a backend that is to take a body
@@ -188,11 +187,7 @@
 
     def is_quiet(self) -> bool:
         """True where nothing is unread: an end, or bytes that would pass for the next attempt's answer."""
-        if self.transport is None:
-            return False
-        waiting = select.poll()
-        waiting.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return not waiting.poll(0)
+        return self.transport is not None and not is_readable(self.transport.get_extra_info("socket"))
 
     # what the parser tells
 
--- a/embersill/net/bodies.py
+++ b/embersill/net/bodies.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import select
 from collections import deque
 from collections.abc import Callable
 from typing import Protocol
@@ -11,6 +12,19 @@
 READ = 64 * 1024  # bytes read at a time, into one buffer for all connections
 
 
+class Socket(Protocol):
+    """What the loop shows of a transport's socket, or a socket itself."""
+
+    def fileno(self) -> int: ...
+
+
+def is_readable(sock: Socket) -> bool:
+    """True where the kernel holds something that was not read yet: bytes, an end, a caller that waits."""
+    waiting = select.poll()
+    waiting.register(sock.fileno(), select.POLLIN)
+    return bool(waiting.poll(0))
+
+
 class Sink(Protocol):
     """Where an answer goes while it still comes; `room` is called when it has room again."""
 
--- a/embersill/net/clients.py
+++ b/embersill/net/clients.py
@@ -7,7 +7,6 @@
 import heapq
 import logging
 import re
-import select
 import socket
 import struct
 from collections import deque
@@ -18,7 +17,7 @@
 import httptools
 
 from embersill.interface import Repeats, Settings
-from embersill.net.bodies import MOST_BODY, READ, WHOLE, Upload
+from embersill.net.bodies import MOST_BODY, READ, WHOLE, Upload, is_readable
 from embersill.net.driver import Call, Driver
 
 MOST_HEAD = 32 * 1024  # bytes of request line and headers: a generous browser sends a quarter of it
@@ -593,6 +592,10 @@
         return now - self.idle_since > SETTLED
 
 
+    def has_unread(self) -> bool:
+        """True where something waits in the kernel, perhaps a request that closing would cross."""
+        return self.transport is not None and is_readable(self.transport.get_extra_info("socket"))
+
     def can_leave(self) -> bool:
         """True also for one that had its last answer and lingers only for its peer to read that."""
         if self.closing:
@@ -712,9 +715,7 @@
 
     def is_awaited(self) -> bool:
         """True if a connection waits to be accepted: only for that does another have to go."""
-        waiting = select.poll()
-        waiting.register(cast(socket.socket, self.listener), select.POLLIN)
-        return bool(waiting.poll(0))
+        return is_readable(cast(socket.socket, self.listener))
 
     def make_room(self) -> None:
         """Closes some that have no request under way: their clients can open another.
@@ -778,3 +779,10 @@
         for connection in list(self.connections):
             if connection.is_idle():
                 connection.end()
+
+    def close_unasked(self) -> bool:
+        """Closes what is idle, but for those on which something has come; True once all are closed."""
+        for connection in list(self.connections):
+            if connection.is_idle() and not connection.has_unread():
+                connection.end()
+        return all(c.closing for c in self.connections)
--- a/embersill/net/console.py
+++ b/embersill/net/console.py
@@ -97,8 +97,11 @@
         self.callers: dict[Caller, None] = {}  # in the order of their coming
         self.server: asyncio.Server | None = None
 
-    async def listen(self, address: tuple[str, int]) -> None:
+    async def listen(self, address: tuple[str, int]) -> str:
+        """Begins to listen; where it does then, as host:port."""
         self.server = await self.loop.create_server(lambda: Caller(self), *address, backlog=BACKLOG)
+        host, port = self.server.sockets[0].getsockname()[:2]
+        return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
 
     def came(self, caller: Caller) -> None:
         if len(self.callers) >= MOST_CALLERS:
--- a/embersill/net/driver.py
+++ b/embersill/net/driver.py
@@ -92,7 +92,6 @@
         self.unanswered = 0
         self.counting = 0  # calls of the counter that were not told of yet
         self.taken = 0
-        self.all_answered = asyncio.Event()
         self.serving: set[str] = set()  # backends that the list shows as serving
         self.events: deque[tuple[Event, float]] = deque()
         self.handling = False
@@ -275,8 +274,6 @@
         """The one place where a request ends; with no status its client is gone and hears nothing."""
         pending.over = True
         self.unanswered -= 1
-        if not self.unanswered:
-            self.all_answered.set()
         if pending.guard is not None:
             pending.guard.cancel()
         if status:
@@ -358,14 +355,3 @@
     def rescue_all(self) -> None:
         for pending in list(self.pending.values()):
             self.rescue(pending)
-
-    async def wait_answered(self, at_most: float) -> bool:
-        """Waits until nothing that was taken is unanswered; False if that took too long."""
-        end = self.clock() + at_most
-        while self.unanswered:
-            self.all_answered.clear()
-            try:
-                await asyncio.wait_for(self.all_answered.wait(), max(end - self.clock(), 0.0))
-            except TimeoutError:
-                return False
-        return True
--- a/embersill/net/handover.py
+++ b/embersill/net/handover.py
@@ -1,8 +1,8 @@
 """The hand-over between a running process and its successor, over a Unix socket and a file in $TMPDIR.
 
 The successor asks once it could serve. It is given the listening socket, the decision module's state and, as
-they fall idle, the client connections; the other then only ends what it has. Each message is one packet of
-JSON, with a descriptor where it gives one away.
+they fall idle, the client connections; the other then only ends what it has. A lame duck's successor is one
+for the rest of its time. Each message is one packet of JSON, with a descriptor where it gives one away.
 """
 
 from __future__ import annotations
@@ -18,6 +18,7 @@
 
 from embersill.net.clients import ClientConnection, Front
 from embersill.net.driver import Driver
+from embersill.net.lameduck import LameDuck
 
 VERSION = 1  # of the messages and the file: a process of another one is taken for none at all
 LINK, STATE = "embersill.link", "embersill.state"
@@ -93,11 +94,19 @@
         return -1
 
 
+def read_left(message: Message, key: str) -> float | None:
+    """A lame duck's time, of which a process of an older version tells nothing."""
+    left = message.get(key)
+    return None if left is None else float(left)
+
+
 class Handover:
     """This process's part in upgrades: first as the successor of one that runs, then as a predecessor."""
 
-    def __init__(self, folder: str | None, driver: Driver, front: Front) -> None:
-        self.driver, self.front = driver, front
+    def __init__(self, folder: str | None, driver: Driver, front: Front, duck: LameDuck) -> None:
+        self.driver, self.front, self.duck = driver, front, duck
+        self.console = ""  # where staff call this process
+        self.successor = ""  # and where they call the one that takes over, or that came while this one ended
         self.loop = asyncio.get_running_loop()
         self.folder = open_folder(folder) if folder else -1
         self.link: Link | None = None
@@ -127,7 +136,7 @@
 
     async def take_over(self) -> bool:
         """Asks for everything; False where the other process did not give it in time."""
-        if self.link is None or not self.link.send({"say": "take"}):
+        if self.link is None or not self.link.send({"say": "take", "console": self.console}):
             return False
         try:
             async with asyncio.timeout(GIVEN_WITHIN):
@@ -146,6 +155,10 @@
         self.limit_to(message)
         self.driver.inherit(self.read_state())
         self.front.listen_on(socket.socket(fileno=descriptor))
+        left = read_left(message, "lame_duck")
+        if left is not None:
+            log.info("the process before was a lame duck: this one is for %.1f s more", left)
+            self.duck.set(left)
         if not self.given.done():
             self.given.set_result(True)
 
@@ -184,17 +197,23 @@
             return sock.close()  # one at a time
         self.link = Link(sock, self.told, self.ended)
 
-    def give(self) -> None:
+    def give(self, successor: str) -> None:
         """All that a successor needs goes over: from here on this process only ends what it has."""
         listener = self.front.listener
-        if self.link is None or self.gave or listener is None:
+        if self.link is None or self.gave:
+            return
+        self.successor = successor
+        if self.front.stopping or listener is None:  # it takes what still comes, and ends by itself
+            self.link.send({"say": "closing"})
             return
         self.gave = True
         self.front.pause_accepting()
         self.driver.pool.keep_none()
         self.write_state(self.driver.hand_over())
-        if not self.link.send({"say": "given", **self.holds()}, listener.fileno()):
+        given = {"say": "given", **self.holds(), "lame_duck": self.duck.left()}
+        if not self.link.send(given, listener.fileno()):
             return self.take_back()
+        self.duck.hand_on()
         log.info("handed over to a successor; %d requests are still open here", self.driver.unanswered)
         self.front.successor = self.move
         self.front.move_idle()
@@ -220,22 +239,29 @@
     def take_back(self) -> None:
         """The successor went before this process was told to stop: it serves on, with what credit is left."""
         log.warning("the successor is gone: this process serves on")
-        self.gave, self.front.successor = False, None
+        self.gave, self.front.successor, self.successor = False, None, ""
         self.driver.pool.keeping = True
         self.driver.take_back()
         self.front.resume_accepting()
         self.front.stay()
         self.shut()
         self.open()  # the path may be the successor's by now
+        self.duck.go_on()
 
     # both
 
     def told(self, message: Message, descriptors: list[int]) -> None:
         match message["say"]:
             case "take":
-                self.give()
+                self.give(str(message.get("console", "")))
             case "given":
                 self.accept_given(message, descriptors[0])
+            case "closing":
+                if not self.given.done():
+                    self.given.set_result(False)
+            case "lame duck":
+                self.duck.set(read_left(message, "left"))
+                self.duck.hand_on()
             case "client":
                 self.front.adopt(descriptors[0], bool(message["asked"]), bool(message["served"]))
             case "holds":
@@ -253,6 +279,11 @@
             case other:
                 raise ValueError(f"unknown message {other!r}")
 
+    def tell_duck(self) -> None:
+        """What staff said here also holds for the process before, should it have to serve on."""
+        if self.link is not None:
+            self.link.send({"say": "lame duck", "left": self.duck.left()})
+
     def confirm(self, message: Message) -> None:
         self.save_bans()
         if self.link is not None:
--- a/embersill/ops/fleet.py
+++ b/embersill/ops/fleet.py
@@ -48,6 +48,9 @@
     def gateway(self, name: str) -> Member | None:
         return next((g for g in self.gateways if g.name == name), None)
 
+    def console(self, name: str) -> str:
+        return next(g.console for g in self.gateways if g.name == name)
+
     def machines(self) -> set[str]:
         return {m.machine for m in (*self.gateways, *self.backends)}
 
--- a/embersill/ops/procedure.py
+++ b/embersill/ops/procedure.py
@@ -16,6 +16,8 @@
 
 FIRST_ROUND, ROUND = 0.1, 1.0  # seconds between rounds, doubled: news take less, and 200 consoles are asked
 TRIES = 5  # times that a list which changes under the guard is read again
+MOST_PROCESSES = 4  # of one gateway at a time: two in an upgrade, and two that have ended since
+SUCCESSORS = "successors"  # in the memory: by console, as the process there may have ended since
 GAVE_UP = 3  # rounds without any gateway's word after which there is no fleet to be reached
 
 
@@ -68,10 +70,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Ask:
-    """A call at a gateway's console. Answered by what it tells, as a dict, or Failed."""
+    """A call at a gateway's console, or at that of its successor. Answered by what it tells, or Failed."""
 
     gateway: str
     line: str
+    at: str = ""  # host:port, where it is not the fleet file's
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,6 +93,14 @@
     refused: bool = False  # nothing listens there: the process is not running
 
 
+@dataclass(frozen=True, slots=True)
+class Word:
+    """What one process of a gateway told, and where."""
+
+    at: str
+    told: Any
+
+
 Call = ReadList | ReadLoad | Mark | Unmark | Ask | Pause
 Rounds = Generator[list[Call], tuple[float, list[Any]], Any]
 
@@ -124,6 +135,41 @@
         self.now, results = yield list(calls)
         return results
 
+    def ask_on(self, *asks: tuple[str, str]) -> Rounds:
+        """For each gateway and call the words of its processes: its own, then what it was handed over to.
+
+        One that has ended is left out where its successor is known.
+        """
+        words: list[list[Word]] = [[] for _ in asks]
+        places = {n: self.fleet.console(name) for n, (name, _) in enumerate(asks)}
+        known = self.job.memory.get(SUCCESSORS, {})
+        for _ in range(MOST_PROCESSES):
+            calls = [Ask(asks[n][0], asks[n][1], at) for n, at in places.items()]
+            told = yield from self.do(*calls)
+            on = {}
+            for (n, at), word in zip(places.items(), told, strict=True):
+                gone = isinstance(word, Failed)
+                if not gone:
+                    known = self.keep_successor(known, at, word.get("successor"))
+                if at in known and (not gone or word.refused):
+                    on[n] = known[at]
+                if not (gone and n in on):
+                    words[n].append(Word(at, word))
+            places = on
+            if not places:
+                break
+        return words
+
+    def keep_successor(self, known: dict[str, str], at: str, successor: str | None) -> dict[str, str]:
+        """Kept at once, as the process that tells of it may be gone when it is asked again."""
+        known = {console: to for console, to in known.items() if console != at}
+        known |= {at: successor} if successor else {}
+        if known:
+            self.job.memory[SUCCESSORS] = known
+        else:
+            self.job.memory.pop(SUCCESSORS, None)
+        return known
+
     def read(self) -> Rounds:
         (listed,) = yield from self.do(ReadList())
         if isinstance(listed, Failed):
@@ -196,18 +242,20 @@
         """Until in one and the same round every gateway has been told and has nothing out."""
         unheard, pause = 0, FIRST_ROUND
         while True:
+            (listed,) = yield from self.do(ReadList())
             pairs = [(g.name, id) for g in self.fleet.gateways for id in self.job.backends]
-            listed, *told = yield from self.do(ReadList(), *(Ask(g, f"OUT {id}") for g, id in pairs))
+            told = yield from self.ask_on(*((name, f"OUT {id}") for name, id in pairs))
             marks = listed.marks if isinstance(listed, List) else {}
             self.check_marks(listed)
             open_ends = [
                 f"{id} at {gateway}: {why}"
-                for (gateway, id), word in zip(pairs, told, strict=True)
-                if (why := self.still_open(id, word, GATEWAY + gateway in marks))
+                for (gateway, id), words in zip(pairs, told, strict=True)
+                for word in words
+                if (why := self.still_open(id, word.told, GATEWAY + gateway in marks))
             ]
             if not open_ends:
                 return self.job.say(f"{', '.join(self.job.backends)}: empty, by the word of all gateways")
-            unheard = unheard + 1 if all(isinstance(w, Failed) for w in told) else 0
+            unheard = unheard + 1 if all(isinstance(w[-1].told, Failed) for w in told) else 0
             if unheard >= GAVE_UP:
                 raise Ended(Result.UNREACHABLE, "no gateway can be asked", *open_ends)
             self.check_time(open_ends)
@@ -238,53 +286,68 @@
     def drain_gateway(self, name: str) -> Rounds:
         mark, last = GATEWAY + name, self.job.memory.get(name, {})
         others = [g.name for g in self.fleet.gateways if g.name != name]
-        word, *told = yield from self.do(Ask(name, "PHASE"), *(Ask(g, "PHASE") for g in others))
+        words, *told = yield from self.ask_on((name, "PHASE"), *((g, "PHASE") for g in others))
+        word = words[-1].told
         if isinstance(word, Failed):
             listed = yield from self.read()
             same = last.get("mark") == listed.marks.get(mark, ("", 0))[1]
             if word.refused and same and last["phase"] == "empty":
                 return self.job.say(f"{name} has ended already, with nothing open")
             raise Ended(Result.UNREACHABLE, f"{name} can't be asked: {word.why}")
-        serving = [g for g, w in zip(others, told, strict=True) if not isinstance(w, Failed) and w["ready"]]
+        serving = [g for g, its in zip(others, told, strict=True) if any(is_ready(w.told) for w in its)]
         yield from self.mark_all([mark], lambda listed: self.guard_gateways(listed, serving, mark))
         if self.job.dry_run:
             return None
-        (word,) = yield from self.do(Ask(name, "DRAIN"))
-        if isinstance(word, Failed):
-            raise Ended(Result.FAILED, f"{name} can't be told to end: {word.why}")
-        self.remember(name, word)
+        yield from self.tell_to_end(name)
         if self.job.wait:
             yield from self.until_ended(name)
         return None
 
+    def tell_to_end(self, name: str) -> Rounds:
+        """Says it to the process that serves; one that was handed over meanwhile refuses."""
+        for _ in range(TRIES):
+            (words,) = yield from self.ask_on((name, "PHASE"))
+            (word,) = yield from self.do(Ask(name, "DRAIN", words[-1].at))
+            if not isinstance(word, Failed):
+                return self.remember(name, Word(words[-1].at, word))
+        raise Ended(Result.FAILED, f"{name} can't be told to end: {word.why}")
+
     def guard_gateways(self, listed: List, serving: list[str], mark: str) -> list[str]:
         return gateways_left(self.fleet.guards, [g for g in serving if GATEWAY + g not in listed.marks], [])
 
     def until_ended(self, name: str) -> Rounds:
         while True:
-            (word,) = yield from self.do(Ask(name, "PHASE"))
-            last = self.job.memory[name]
-            if isinstance(word, Failed):
-                if word.refused:
-                    raise Ended(
-                        Result.FAILED, f"{name} ended without its last word, when it was {words(last)}"
-                    )
-                self.check_time([f"{name} can't be asked: {word.why}; it was {words(last)}"])
-            elif word["started"] != last["started"]:
-                raise Ended(Result.FAILED, f"{name} was started again when it was {words(last)}")
-            elif word["phase"] == "serving":
-                raise Ended(Result.FAILED, f"{name} was undrained meanwhile")
-            else:
-                self.remember(name, word)
-                if word["phase"] == "empty":
-                    return self.job.say(f"{name} ends, with nothing open")
-                self.check_time([f"{name} is {words(word)}"])
-                self.job.say(f"waiting: {name} is {words(word)}")
+            (words,) = yield from self.ask_on((name, "PHASE"))
+            if self.has_ended(name, words[-1], len(words) > 1):
+                return self.job.say(f"{name} ends, with nothing open")
             yield from self.do(Pause(ROUND / 4))  # one console, and its last word is kept for some seconds
 
-    def remember(self, name: str, word: dict[str, Any]) -> None:
-        word = {key: word[key] for key in ("started", "phase", "open")}
-        self.job.memory[name] = word | {"mark": self.versions[GATEWAY + name]}
+    def has_ended(self, name: str, word: Word, handed: bool) -> bool:
+        """True with the last word of the last process; Ended where it is not the drain that goes on."""
+        told, last = word.told, self.job.memory[name]
+        if isinstance(told, Failed):
+            if told.refused and not handed:
+                raise Ended(Result.FAILED, f"{name} ended without its last word, when it was {tell(last)}")
+            self.check_time([f"{name} can't be asked: {told.why}; it was {tell(last)}"])
+            return False
+        if told["phase"] == "serving" and word.at != last["at"]:
+            raise Ended(Result.FAILED, f"{name} serves on: another process was started at {word.at}")
+        if word.at == last["at"] and told["started"] != last["started"]:
+            raise Ended(Result.FAILED, f"{name} was started again when it was {tell(last)}")
+        if told["phase"] == "serving":
+            raise Ended(Result.FAILED, f"{name} was undrained meanwhile")
+        if word.at != last["at"] and handed:
+            self.job.say(f"{name} was handed over to a successor, with its console at {word.at}")
+        self.remember(name, word)
+        if told["phase"] == "empty" and not handed:
+            return True
+        self.check_time([f"{name} is {tell(told)}"])
+        self.job.say(f"waiting: {name} is {tell(told)}")
+        return False
+
+    def remember(self, name: str, word: Word) -> None:
+        told = {key: word.told[key] for key in ("started", "phase", "open")}
+        self.job.memory[name] = told | {"mark": self.versions[GATEWAY + name], "at": word.at}
 
 
 class Undrain(Procedure):
@@ -296,7 +359,8 @@
             if self.job.dry_run:
                 continue
             self.job.memory.pop(name, None)
-            (word,) = yield from self.do(Ask(name, "SERVE"))
+            (words,) = yield from self.ask_on((name, "PHASE"))
+            (word,) = yield from self.do(Ask(name, "SERVE", words[-1].at))
             self.job.say(f"{name} {'does not serve: ' + word.why if isinstance(word, Failed) else 'serves'}")
         for id in (*self.job.backends, *(GATEWAY + name for name in self.job.gateways)):
             if id in listed.marks:
@@ -317,5 +381,9 @@
         return self.job.say(f"{id} is no longer marked")
 
 
-def words(word: dict[str, Any]) -> str:
-    return f"{word['phase']} with {word['open']} open"
+def tell(told: dict[str, Any]) -> str:
+    return f"{told['phase']} with {told['open']} open"
+
+
+def is_ready(told: Any) -> bool:
+    return not isinstance(told, Failed) and bool(told["ready"])
--- a/embersill/ops/wire.py
+++ b/embersill/ops/wire.py
@@ -11,7 +11,7 @@
 
 import aiohttp
 
-from embersill.ops.fleet import Fleet
+from embersill.ops.fleet import ADDRESS, Fleet
 from embersill.ops.guards import List, Listed
 from embersill.ops.procedure import Ask, Call, Conflict, Failed, Mark, Pause, ReadList, ReadLoad, Unmark
 
@@ -74,8 +74,8 @@
 
     # consoles
 
-    async def console(self, gateway: str, line: str) -> str:
-        host, _, port = self.consoles[gateway].rpartition(":")
+    async def console(self, at: str, line: str) -> str:
+        host, _, port = at.rpartition(":")
         async with self.room, asyncio.timeout(CONSOLE_WITHIN):
             reader, writer = await asyncio.open_connection(host.strip("[]"), int(port))
             try:
@@ -88,7 +88,7 @@
         return answer.decode(errors="replace")
 
     async def ask(self, call: Ask) -> dict[str, Any] | Failed:
-        text = (await self.console(call.gateway, call.line)).strip()
+        text = (await self.console(call.at or self.consoles[call.gateway], call.line)).strip()
         word, _, rest = text.partition(" ")
         if word == "error":
             return Failed(rest[:200])
@@ -96,6 +96,9 @@
         for key, kind in FORMS[call.line.partition(" ")[0]].items():
             if not isinstance(told.get(key), kind) or isinstance(told[key], bool) != (kind is bool):
                 raise OutOfForm(f"the console's answer has no {key} in its form: {text[:80]!r}")
+        successor = told.get("successor")
+        if successor is not None and not (isinstance(successor, str) and ADDRESS.fullmatch(successor)):
+            raise OutOfForm(f"the console names no successor's address: {text[:80]!r}")
         return told
 
     async def load(self) -> float | None:
@@ -118,7 +121,7 @@
 
     async def metrics(self, gateway: str) -> dict[str, Any]:
         try:
-            text = await self.console(gateway, "METRICS")
+            text = await self.console(self.consoles[gateway], "METRICS")
             return read_object(text.partition("\n")[0], text)
         except (OSError, TimeoutError, OutOfForm):
             return {}
--- a/tests/bed.py
+++ b/tests/bed.py
@@ -116,9 +116,9 @@
         assert self.program.front.listener is not None
         self.port = self.program.front.listener.getsockname()[1]
 
-    async def console(self, text: bytes, end: bool = False) -> str:
+    async def console(self, text: bytes, end: bool = False, program: Program | None = None) -> str:
         """What the console answers to these bytes, to its close."""
-        server = self.program.console.server
+        server = (program or self.program).console.server
         assert server is not None
         reader, writer = await asyncio.open_connection(*server.sockets[0].getsockname())
         writer.write(text)
@@ -138,6 +138,12 @@
             "settings": env,
         }
 
+    async def answered(self) -> None:
+        """Waits until nothing that was taken is unanswered."""
+        async with asyncio.timeout(SOON):
+            while self.program.driver.unanswered:
+                await asyncio.sleep(0.001)
+
     async def successor(self, env: dict[str, Any], folder: str) -> Program:
         """A second process's program beside the first, with the same addresses but for its console."""
         told = {**self.told(env, 1024), "listen": f"{HOST}:{self.port}"}
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -10,7 +10,7 @@
 from embersill.net.bodies import MOST_BODY, WHOLE
 from embersill.net.clients import MOST_HEAD, READ_WITHIN, SLOWEST, STALLED, STUCK
 from tests.bed import READY, Bed, Client, request, roomy_settings, run, running
-from tests.peers import SOON, Asked, message, serve
+from tests.peers import Asked, message, serve
 
 
 def with_bed(test: Callable[[Bed, Client], Awaitable[None]]) -> None:
@@ -205,7 +205,7 @@
         client.send(b"".join(request(n) for n in range(1000)))
         while not any(c.stuck for c in bed.program.front.connections):
             await asyncio.sleep(0)
-        await bed.program.driver.wait_answered(SOON)
+        await bed.answered()
         assert bed.program.driver.taken < 1000
         connection = next(c for c in bed.program.front.connections if c.stuck)
         assert connection.transport is not None
@@ -228,7 +228,7 @@
         client.send(b"".join(request(n) for n in range(1000)))
         while not any(c.stuck for c in front.connections):
             await asyncio.sleep(0)
-        await bed.program.driver.wait_answered(SOON)
+        await bed.answered()
         front.look()
         assert any(c.stuck for c in front.connections)  # not before its time
         front.clock = lambda: clock() + STUCK
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -211,7 +211,7 @@
             async with asyncio.timeout(SOON):
                 await bed.program.stopped.wait()
             assert (await bed.console(b"SERVE\n")).startswith("error it is too late")
-            bed.program.heard_empty.set()  # nobody waits for its last word
+            bed.program.heard_last.set()  # nobody waits for its last word
 
     run(test)
 
@@ -228,10 +228,10 @@
             bed.program.lame_duck = 0.0
             await asked(bed, b"DRAIN")
             await bed.program.stopped.wait()
-            bed.program.heard_empty.set()
+            bed.program.heard_last.set()
             async with asyncio.timeout(SOON):
                 await bed.program.stop()
-            assert bed.program.phase == "empty" and not bed.program.driver.unanswered
+            assert bed.program.empty and not bed.program.driver.unanswered
             deaf.writer.transport.abort()
 
     run(test)
--- a/tests/test_directory_gateways.py
+++ b/tests/test_directory_gateways.py
@@ -43,14 +43,14 @@
         )
         self.child: asyncio.subprocess.Process
 
-    async def start(self) -> None:
+    async def start(self, **more: str) -> None:
         environ = {k: v for k, v in os.environ.items() if not k.startswith("RELAY_") and k != "TMPDIR"}
         self.child = await asyncio.create_subprocess_exec(
             "/bin/sh",
             "-c",
             RUN,
             cwd=ROOT,
-            env={**environ, "RELAY_CONFIG": str(self.path)},
+            env={**environ, "RELAY_CONFIG": str(self.path), **more},
             stderr=asyncio.subprocess.PIPE,
         )
 
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 
 import pytest
 
@@ -170,7 +171,8 @@
             with caplog.at_level("INFO", logger="embersill"):
                 bed.program.driver.report()
                 bed.program.driver.report()  # nothing since: no line
-            assert caplog.messages == [
-                "attempt served 1, busy 2, gave up over quota 2, success 1; open 0, listed 1, down 0"]
+            lines = [re.sub(r"pool waited ms \d+, ", "", line) for line in caplog.messages]
+            assert lines == ["attempt served 1, busy 2, gave up over quota 2, pool opened 1, success 1;"
+                             " open 0, listed 1, down 0"]
 
     run(test)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import functools
+import json
 import pathlib
 import socket
+from typing import Any
 
 import pytest
 
+from embersill.__main__ import Program
 from embersill.interface import Alone, Inherit, ListKind, Outcome, Refuse, Request, Send, Suspend, TimerDue
 from embersill.net.handover import LINK, STATE
-from tests.bed import request, roomy_settings, run, running
+from tests.bed import READY, Bed, request, roomy_settings, run, running
 from tests.helpers import CAPPED, backend, backends, ended, gateway
 from tests.helpers import request as asked_for
 from tests.peers import SOON, Asked, serve
@@ -107,6 +111,90 @@
     run(test)
 
 
+async def told(bed: Bed, program: Program, line: bytes) -> Any:
+    answer = await bed.console(line + b"\n", program=program)
+    return json.loads(answer.removeprefix("done ")) if answer.startswith("done ") else answer
+
+
+def test_a_lame_ducks_successor_is_one_for_the_rest_of_its_time(tmp_path: pathlib.Path) -> None:
+    async def test() -> None:
+        env, folder = roomy_settings(), str(tmp_path)
+        async with running(env=env, folder=folder) as bed:
+            first, ask = bed.program, functools.partial(told, bed)
+            first.lame_duck = 60.0
+            client = await bed.client()
+            assert (await client.ask(request(1)))[0] == 200
+            assert (await ask(first, b"DRAIN"))["phase"] == "lame duck"
+            second = await bed.successor(env, folder)
+            old, new = await ask(first, b"PHASE"), await ask(second, b"PHASE")
+            assert (old["phase"], old["successor"]) == ("handed over", second.handover.console)
+            assert (new["phase"], new["ready"]) == ("lame duck", False) and "successor" not in new
+            left, rest = second.duck.left(), first.duck.left()
+            assert left is not None and rest is not None and abs(rest - left) < 1 and first.duck.timer is None
+            assert second.handover.console in await ask(first, b"DRAIN")
+            assert second.handover.console in await ask(first, b"SERVE")
+            assert (await ask(second, b"STATUS")).startswith("error a lame duck")
+            assert (await client.ask(READY))[0] == 503
+            assert (await client.ask(request(2)))[0] == 200 and counted(second, "success") == 1
+            # what staff say at the successor also holds if it dies and the first has to serve on
+            assert (await ask(second, b"SERVE"))["phase"] == "serving"
+            assert (await client.ask(READY))[0] == 200
+            assert (await ask(second, b"DRAIN"))["phase"] == "lame duck"
+            async with asyncio.timeout(SOON):
+                while first.duck.until is None:
+                    await asyncio.sleep(0.01)
+            second.front.stop_listening()
+            second.handover.close()
+            async with asyncio.timeout(SOON):
+                while first.handover.gave:
+                    await asyncio.sleep(0.01)
+            took_back = await ask(first, b"PHASE")
+            assert took_back["phase"] == "lame duck" and "successor" not in took_back
+            assert first.duck.timer is not None
+            assert (await (await bed.client()).ask(request(3)))[0] == 200
+            for program in (first, second):
+                program.signalled.set()  # nobody waits for their last words
+            await second.stop(0.0, 0.0)
+
+    run(test)
+
+
+def test_one_that_ends_hands_nothing_over_and_tells_who_came(tmp_path: pathlib.Path) -> None:
+    async def test() -> None:
+        env, folder = roomy_settings(), str(tmp_path)
+        async with running(env=env, folder=folder) as bed:
+            first, free = bed.program, asyncio.Event()
+
+            async def late(writer: asyncio.StreamWriter, asked: Asked) -> None:
+                await free.wait()
+                serve(writer, asked)
+
+            bed.backends[0].script = [late]
+            busy = await bed.client()
+            busy.send(request(1))
+            await bed.backends[0].until(lambda: len(bed.backends[0].seen) == 1)
+            first.duck.set(60.0)
+            stopped = asyncio.create_task(first.stop())
+            async with asyncio.timeout(SOON):
+                while not first.front.stopping:
+                    await asyncio.sleep(0.01)
+            second = await bed.successor(env, folder)
+            assert not first.handover.gave and second.front.is_ready() and second.duck.until is None
+            word = await told(bed, first, b"PHASE")
+            assert (word["phase"], word["open"], word["successor"]) == (
+                "closing", 1, second.handover.console)
+            assert (await (await bed.client()).ask(request(2)))[0] == 200
+            free.set()
+            assert (await busy.answer())[0] == 200 and await busy.closed()
+            async with asyncio.timeout(SOON):
+                while (await told(bed, first, b"PHASE"))["phase"] != "empty":
+                    await asyncio.sleep(0.01)
+                await stopped
+            await second.stop(0.0, 0.0)
+
+    run(test)
+
+
 @pytest.mark.parametrize("state", [
     "", "1 5\n{", "9 0\n{}", "\x00\xff", '1 3523407757\n{"banned": 3}', None,
 ])
@@ -138,6 +226,7 @@
         async with running(folder=str(tmp_path)) as bed:
             for text in (b"{", b"[]", b'{"version": 1}', b'{"version": 7, "say": "take"}',
                          b'{"version": 1, "say": "given", "clients": 1, "backends": 1}',
+                         b'{"version": 1, "say": "lame duck", "left": "x"}',
                          b'{"version": 1, "say": "client"}', b'{"version": 1, "say": "odd"}'):
                 with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as caller:
                     caller.connect(str(tmp_path / LINK))
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -49,6 +49,7 @@
         self.phases: dict[str, list[Any]] = {f"n{n}": ["serving"] for n in range(3)}
         self.started = {f"n{n}": 1.0 for n in range(3)}
         self.silent: dict[str, Failed] = {}
+        self.successors: dict[str, str] = {}  # by a gateway's name, or the console of a later process of it
         self.list_down = False
         self.calls: list[Call] = []
         self.before: Callable[[Call], None] = lambda call: None  # what happens just before a call arrives
@@ -62,7 +63,9 @@
         if isinstance(call, ReadLoad):
             return self.load
         if isinstance(call, Ask):
-            return self.silent.get(call.gateway) or self.console(call.gateway, call.line)
+            first = call.at in ("", f"127.0.0.1:900{call.gateway[1:]}")
+            key = call.gateway if first else call.at
+            return self.silent.get(key) or self.console(key, call.line)
         if self.list_down:
             return Failed("no answer in time")
         if isinstance(call, ReadList):
@@ -90,6 +93,14 @@
         return {}
 
     def console(self, gateway: str, line: str) -> Any:
+        told = self.told(gateway, line)
+        if gateway in self.successors and not isinstance(told, Failed):
+            if line == "DRAIN":
+                return Failed(f"handed over to a successor {self.successors[gateway]}")
+            told["successor"] = self.successors[gateway]
+        return told
+
+    def told(self, gateway: str, line: str) -> Any:
         if line.startswith("OUT"):
             old = gateway in self.behind
             return {
@@ -281,7 +292,7 @@
     world = World()
 
     def begins(call: Call) -> None:
-        if call == Ask("n1", "DRAIN"):
+        if isinstance(call, Ask) and (call.gateway, call.line) == ("n1", "DRAIN"):
             world.phases["n1"] = list(phases)
 
     world.before = begins
@@ -301,6 +312,89 @@
     assert result is Result.FAILED and "started again" in said[-1]
 
 
+NEW = "127.0.0.1:9101"  # the console of a successor
+GONE = Failed("refused", refused=True)
+
+
+def upgraded(world: World, phases: list[Any], old: list[Any]) -> None:
+    """From now on n1 is handed over to a process that is as scripted."""
+    world.phases[NEW], world.started[NEW], world.out[NEW] = phases, 2.0, 0
+    world.phases["n1"], world.successors["n1"] = old, NEW
+
+
+def test_a_lame_duck_that_is_handed_over_is_followed_to_the_end_of_its_successor() -> None:
+    world = World()
+
+    def upgrades(call: Call) -> None:
+        if isinstance(call, Pause) and not world.successors:
+            upgraded(world, ["lame duck", "closing", "empty"], ["handed over", "handed over", GONE])
+
+    world.before = upgrades
+    result, said = drains(world, [], ["n1"])
+    assert result is Result.DONE, said
+    assert f"n1 was handed over to a successor, with its console at {NEW}" in said
+    assert said[-1] == "n1 ends, with nothing open" and not world.phases["n1"][1:]
+
+
+def test_a_successor_that_ends_before_its_predecessor_is_not_the_end() -> None:
+    world = World()
+
+    def upgrades(call: Call) -> None:
+        if isinstance(call, Pause) and world.phases["n1"][0] == "closing":
+            upgraded(world, ["empty", GONE], ["handed over", "handed over", "handed over"])
+        elif isinstance(call, Pause) and world.phases["n1"] == ["handed over"] and world.successors:
+            world.successors, world.phases["n1"] = {}, ["lame duck", "empty"]  # it has taken it back
+
+    world.before = upgrades
+    result, said = drains(world, [], ["n1"])
+    assert result is Result.DONE and said[-1] == "n1 ends, with nothing open"
+    assert "waiting: n1 is empty with 0 open" in said and world.phases["n1"] == ["empty"]
+
+
+def test_the_command_run_again_after_an_upgrade_finds_the_successor() -> None:
+    world, memory = World(), dict[str, Any]()
+
+    def upgrades(call: Call) -> None:
+        if isinstance(call, Pause) and not world.successors:
+            upgraded(world, ["lame duck"] * 9, ["handed over"])
+        elif isinstance(call, Pause):
+            raise KeyboardInterrupt  # the command is killed
+
+    world.before = upgrades
+    with pytest.raises(KeyboardInterrupt):
+        plays(Drain(job([], ["n1"], memory=memory)[0], world.now), world)
+    world.before = lambda call: None
+    world.silent["n1"], world.phases[NEW] = GONE, ["lame duck", "lame duck", "empty"]
+    again, said = job([], ["n1"], memory=memory)
+    assert plays(Drain(again, world.now), world) is Result.DONE and said[-1].startswith("n1 ends")
+    back, said = job([], ["n1"], memory=memory)
+    assert plays(Undrain(back, world.now), world) is Result.DONE and world.phases[NEW] == ["serving"]
+
+
+def test_a_process_started_beside_one_that_closes_is_told() -> None:
+    world = World()
+
+    def starts(call: Call) -> None:
+        if isinstance(call, Pause):
+            upgraded(world, ["serving"], ["closing"])
+
+    world.before = starts
+    result, said = drains(world, [], ["n1"])
+    assert result is Result.FAILED and f"another process was started at {NEW}" in said[-1]
+
+
+def test_a_backend_is_not_empty_before_a_gateways_successor_says_so_too() -> None:
+    world = World()
+    upgraded(world, ["serving"], ["handed over"])
+    world.out[NEW] = 1
+    result, said = drains(world, ["b0"], [], timeout=5.0)
+    assert result is Result.TIMED_OUT and "b0 at n1: 1 out" in said[-1]
+    world.out[NEW], world.out["n1"] = 0, 1
+    assert drains(world, ["b0"], [], timeout=5.0)[0] is Result.TIMED_OUT
+    world.out["n1"] = 0
+    assert drains(world, ["b0"], [], timeout=5.0)[0] is Result.DONE
+
+
 def test_a_gateway_that_can_not_be_asked_at_first_is_left_alone() -> None:
     world = World()
     world.silent["n1"] = Failed("an answer out of form")
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -18,7 +18,9 @@
 
 import pytest
 
-from tests.bed import READY, Bed, Client, free_port, request, roomy_settings, run
+from embersill.__main__ import LAST_READ, STILL_COMING
+from embersill.net.clients import SETTLED
+from tests.bed import READY, Bed, Client, free_port, request, roomy_settings, run, running
 from tests.peers import HOST, SOON, Asked, DiscoveryPeer, serve
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -137,7 +139,7 @@
             async with asyncio.timeout(SOON):
                 assert await child.wait() == 0
             log = (await child.stderr.read()).decode().splitlines()
-            assert len(log) == 1 and "attempt served 3, success 3; open 0" in log[0]
+            assert len(log) == 1 and "attempt served 3, " in log[0] and "success 3; open 0" in log[0]
 
     run(test)
 
@@ -240,6 +242,62 @@
     run(test)
 
 
+async def until_closing(console: int) -> None:
+    assert (await drained(console))["phase"] == "lame duck"
+    while (await drained(console, b"PHASE\n"))["phase"] == "lame duck":
+        await asyncio.sleep(0.005)
+
+
+def test_who_connects_to_a_drained_gateway_in_the_last_moment_is_served(tmp_path: pathlib.Path) -> None:
+    async def test() -> None:
+        console = free_port()
+        async with process(tmp_path, console=f"{HOST}:{console}", lame_duck_s=0.1) as (bed, child):
+            kept = await bed.client()
+            assert (await kept.ask(request(1)))[0] == 200
+            await until_closing(console)
+            child.send_signal(signal.SIGSTOP)  # what comes from here on waits in the accept queue
+            late = [await bed.client() for _ in range(2)]
+            for number, client in enumerate([kept, *late]):
+                client.send(request(2 + number))
+            await asyncio.sleep(STILL_COMING + LAST_READ)  # past the time in which clients still connect
+            child.send_signal(signal.SIGCONT)
+            for client in (kept, *late):
+                status, headers, _ = await client.answer()
+                assert status == 200 and headers["connection"] == "close" and await client.closed()
+            assert (await drained(console, b"PHASE\n"))["phase"] in ("closing", "empty")
+            async with asyncio.timeout(SOON):
+                while (await drained(console, b"PHASE\n"))["phase"] != "empty":
+                    await asyncio.sleep(0.01)
+                assert await child.wait() == 0
+
+    run(test)
+
+
+def test_a_request_that_comes_as_a_drained_gateway_closes_is_not_crossed(tmp_path: pathlib.Path) -> None:
+    async def test() -> None:
+        async with running() as bed:
+            program, client = bed.program, await bed.client()
+            assert (await client.ask(request(1)))[0] == 200
+            await asyncio.sleep(2 * SETTLED)
+            close, crossed = program.front.close_unasked, False
+
+            def crossing() -> bool:
+                nonlocal crossed
+                if not crossed:  # in the kernel now, and the loop has had no turn to read it
+                    crossed = True
+                    os.write(client.writer.get_extra_info("socket").fileno(), request(2))
+                return close()
+
+            program.front.close_unasked = crossing  # type: ignore[method-assign]
+            program.duck.set(60.0)
+            program.heard_last.set()
+            await program.stop()
+            status, headers, _ = await client.answer()
+            assert status == 200 and headers["connection"] == "close" and len(bed.seen()) == 2
+
+    run(test)
+
+
 def test_a_sigterm_ends_a_lame_duck_and_its_last_word_at_once(tmp_path: pathlib.Path) -> None:
     async def test() -> None:
         console = free_port()
