Give connections to backends a pool of their own, free of sockets

Connections were kept as a by-product of attempts: a dial belonged to one attempt and was thrown away with it, a lack of descriptors passed for a dead backend, and a backend's full table for its death. net/pool.py owns states, lines, bounds and ends now, net/backends.py the exchange; the module says sizes and what is opened ahead (both off), and learns from failed opens how many a backend takes. docs/pools.md has the design.

--- a/embersill/__main__.py
+++ b/embersill/__main__.py
@@ -12,14 +12,14 @@
 import sys
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 import uvloop
 
 from embersill.control import Gateway
 from embersill.interface import ListKind, Settings
-from embersill.net.backends import Pool
+from embersill.net.backends import Dialer
 from embersill.net.clients import Front
 from embersill.net.console import MOST_CALLERS, Console, Refused
 from embersill.net.counter import Counter
@@ -29,7 +29,7 @@
 from embersill.net.driver import Driver
 from embersill.net.handover import Handover
 from embersill.net.lameduck import LameDuck
-from embersill.settings import Limits, read_limits, read_settings
+from embersill.settings import Limits, read_limits, read_pool, read_settings
 
 RESERVE = 48 + MOST_CALLERS  # descriptors kept for the listeners, discovery, the counter, the console's
 # callers, and what the run-time itself needs
@@ -95,7 +95,7 @@
 
 
 def build_configuration(told: dict[str, Any], environ: dict[str, str]) -> Configuration:
-    settings = read_settings(told["settings"])
+    settings = replace(read_settings(told["settings"]), pool=read_pool(told.get("pool", {})))
     counter = read_address(told["counter"]) if settings.counter else None
     console = environ.get("RELAY_CONSOLE") or told.get("console")
     soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
@@ -137,8 +137,10 @@
         self.loop = asyncio.get_running_loop()
         free = told.sockets - min(RESERVE, int(told.sockets * RESERVE_PART))
         clients = int(free * CLIENTS_PART)
-        self.pool = Pool(clock, told.limits.dial_timeout, told.limits.keepalive, free - clients)
-        self.driver = Driver(Gateway(told.settings, told.seed, clock()), clock, self.pool)
+        self.dialer = Dialer(
+            clock, told.limits.dial_timeout, told.limits.keepalive, free - clients, told.settings.pool,
+            told.seed)
+        self.driver = Driver(Gateway(told.settings, told.seed, clock()), clock, self.dialer)
         if told.counter is not None:
             self.driver.counter = Counter(
                 clock, told.counter, told.settings.counter_patience, told.limits.dial_timeout,
@@ -314,7 +316,10 @@
         self.settled = True
 
     def reload(self) -> None:
-        """Takes over where discovery and the counter are now; the file's word counts, as it is the newer."""
+        """Takes over where discovery and the counter are now, and how connections are kept.
+
+        The file's word counts, as it is the newer.
+        """
         environ = {name: value for name, value in os.environ.items() if name != "RELAY_DISCOVERY"}
         try:
             told = read_configuration(environ)
@@ -323,6 +328,7 @@
         log.info("discovery is at %s now", ",".join(f"{host}:{port}" for host, port in told.discovery))
         self.driver.list_age = self.discovery.age if len(told.discovery) > 1 else None
         self.discovery.move(told.discovery)
+        self.driver.tune(told.settings.pool)
         if self.driver.counter is not None and told.counter is not None:
             self.driver.counter.move(told.counter)
         return None
@@ -350,7 +356,7 @@
             self.discovery.drop()
         self.driver.report()
         self.driver.reporter.cancel()
-        self.pool.close()
+        self.dialer.close()
         if self.driver.counter is not None:
             self.driver.counter.close()
         self.handover.close()
--- a/embersill/adapter.py
+++ b/embersill/adapter.py
@@ -10,7 +10,7 @@
 from embersill.control import Gateway
 from embersill.interface import (
     Action, AttemptEnded, Backend, BackendList, Cancel, ClientLeft, Count, Counted, Event, Fail, ListKind,
-    Outcome, Probed, Refuse, Request, Send, SetTimer, StreamBegun, Subscribe, TimerDue,
+    Outcome, Probed, Refuse, Request, Send, SetTimer, Size, StreamBegun, Subscribe, TimerDue, Warm,
 )
 from embersill.settings import STATUSES, read_settings
 
@@ -158,7 +158,8 @@
                 if speaking != who:
                     out.append(f"speaking\t{who}")
                     speaking = who
-                out += [write_action(action) for action in actions]
+                # of connections this wire knows nothing but what attempts do
+                out += [write_action(action) for action in actions if not isinstance(action, Size | Warm)]
         return out
 
 
--- a/embersill/control.py
+++ b/embersill/control.py
@@ -7,14 +7,16 @@
 from bisect import bisect
 from collections import Counter, deque
 from collections.abc import Mapping
+from dataclasses import replace
 from itertools import accumulate
-from math import ceil
+from math import ceil, exp, inf, sqrt
 from typing import Any
 
 from embersill.interface import (
     Action, Alone, AttemptEnded, Backend, BackendList, Cancel, ClientLeft, Count, Counted, Event, Fail,
-    HangUp, Inherit, ListKind, Outcome, Plan, Refuse, Repeats, Request, RequestClass, Restore, Scope, Send,
-    SetTimer, Settings, Settle, Status, StreamBegun, Subscribe, Suspend, TimerDue, Uploaded,
+    HangUp, Inherit, ListKind, OpenFailed, Outcome, Plan, Refuse, Repeats, Request, RequestClass, Restore,
+    Scope, Send, SetTimer, Settings, Settle, Size, Status, StreamBegun, Subscribe, Suspend, TimerDue, Tuned,
+    Uploaded, Warm,
 )
 
 PERIOD = 1.0  # seconds a demand count covers; the design's own, and short against a client's patience
@@ -63,6 +65,12 @@
 LEAST_ADVICE = 0.05  # seconds told to come back in at the least: a try at once would find the same
 WIDE = 4  # gateways from which on demand is too uneven over them for a slice that follows it by seconds
 WIDE_BANK = 2.0  # requests that a slice must hold there, or it goes by the counter's level
+LINKS_MORE = 0.5  # seconds between tries of one more connection at a full backend, of all gateways together
+LINKS_SPARE = 8.0  # connections above what may be out from which a learned bound says nothing any more
+CROWDED_FOR = 0.1  # seconds in which the attempt that found the table full is told of as well
+LOAD_OVER = 10.0  # seconds over which the use of a backend's connections is averaged: some idle limits' worth
+LOAD_CHANCE = 2.0  # standard deviations of what is out at once, above its mean, for which idle ones are kept
+WARM_OVER = 1.0  # seconds over which gateways spread what they open ahead: a list reaches all at once
 EPS = 1e-9  # float slack where levels are compared
 # what a successor is handed of a gateway, of a customer's throttle, and of a backend
 GATEWAY_STATE = ("born", "fleet_fails", "retry_credit", "passed", "judged", "limit", "flight", "quiet_until",
@@ -174,6 +182,9 @@
         self.bad = 0.0  # what is held against it: doubles and one more for each failure, halves with time
         self.full: dict[tuple[str, str], float] = {}  # class and plan: until when it is passed over
         self.limit, self.least = limit, max(1.0, limit * LEAST_LIMIT / START_LIMIT)  # attempts out from here
+        self.links, self.more_at = inf, now  # connections that it takes from here, and when one more is tried
+        self.crowded = -inf  # when it last took no more
+        self.load, self.noted, self.keep = 0.0, now, inf  # attempts out on average; idle connections to keep
 
     def cold_share(self, now: float, settings: Settings) -> float:
         """The least part of its capacity that it has now; 1 once it must be warm."""
@@ -247,6 +258,10 @@
             self.stream_begun(event)
         elif isinstance(event, Uploaded):
             self.uploaded(event.request)
+        elif isinstance(event, OpenFailed):
+            self.open_failed(event)
+        elif isinstance(event, Tuned):
+            self.settings = replace(self.settings, pool=event.pool)
         elif isinstance(event, Settle):
             self.settle_all()
         return self.actions
@@ -553,7 +568,7 @@
 
         The part grows for a gateway that finds too few sound backends in its own.
         """
-        width = max(COVER, ceil(APERTURE * self.settings.gateways / max(len(pool), 1)))
+        width = self.cover(pool)
         while True:
             weights = [self.weight(s, width) for s in pool]
             sound = sum(w > 0 and self.held_against(s) < SHUN for s, w in zip(pool, weights, strict=True))
@@ -561,6 +576,10 @@
                 return weights
             width *= 2
 
+    def cover(self, pool: list[Server]) -> int:
+        """Gateways that use each backend."""
+        return max(COVER, ceil(APERTURE * self.settings.gateways / max(len(pool), 1)))
+
     def weight(self, server: Server, width: int) -> float:
         """For what it can do now, shared by those gateways that have a place there."""
         share, places = server.cold_share(self.now, self.settings), min(width, self.settings.gateways)
@@ -642,7 +661,8 @@
         settings, first, plan = self.settings, job.risky, job.throttle.plan
         if job.ended or job.streaming or self.now >= job.request.deadline:
             return False
-        known = self.servers.get(server.backend.address) is server and server.flight < server.limit
+        free = server.flight < min(server.limit, server.links)
+        known = self.servers.get(server.backend.address) is server and free
         if server.backend.status is not Status.SERVING or not known or server.backend.address in self.banned:
             return False
         if len(job.attempts) >= settings.max_attempts or (job.out and not settings.second_copies):
@@ -665,6 +685,7 @@
             job.throttle.cap -= job.request.units if job.throttle.plan.ceiling_rate > 0 else 0.0
             self.retry_credit = min(self.retry_credit + RETRY_SHARE, RETRY_STORE)
         attempt = Attempt(server, self.now, self.usual_for(job))
+        self.note_load(server)
         server.flight += 1
         self.flight += 1
         job.throttle.open += 1
@@ -701,10 +722,48 @@
         """Takes an attempt out of what its backend has at work."""
         if attempt.busy:
             attempt.busy = False
+            self.note_load(attempt.server)
             attempt.server.flight -= 1
             attempt.server.overdue -= attempt.overdue
             self.flight -= not attempt.overdue
 
+    # connections
+
+    def open_failed(self, event: OpenFailed) -> None:
+        """A sound backend took no more: what is up is all that it takes from here, for now."""
+        server = self.servers.get(event.backend)
+        if server is not None and self.settings.pool.learned:
+            server.links, server.crowded = max(1.0, event.up), self.now
+            self.try_more_later(server)
+
+    def try_more_later(self, server: Server) -> None:
+        server.more_at = self.now + LINKS_MORE * self.settings.gateways * (0.5 + self.random.random())
+        self.actions.append(Size(server.backend.address, server.keep, server.links))
+
+    def take_more(self, server: Server) -> None:
+        """Raises a learned bound slowly, as each of many gateways does so on its own."""
+        if server.links < inf and self.now >= server.more_at:
+            server.links = server.links + 1 if server.links < server.limit + LINKS_SPARE else inf
+            self.try_more_later(server)
+
+    def note_load(self, server: Server) -> None:
+        """Follows how many connections are in use, just before that changes; told where its size changes."""
+        if not self.settings.pool.sized:
+            return
+        server.load += (1 - exp((server.noted - self.now) / LOAD_OVER)) * (server.flight - server.load)
+        server.noted = self.now
+        # the least is a part of one over the fleet: those keep one that have a place there
+        keep = max(float(server.place < COVER), ceil(server.load + LOAD_CHANCE * sqrt(server.load)))
+        if keep != server.keep:
+            server.keep = keep
+            self.actions.append(Size(server.backend.address, keep, server.links))
+
+    def warm(self, address: str) -> None:
+        """Opens ahead at a backend that this gateway will use, and does not yet."""
+        server = self.servers.get(address)
+        if server in self.order and not server.flight and self.weight(server, self.cover(self.order)) > 0:
+            self.actions.append(Warm(address, 1))
+
     def useful_until(self, job: Job) -> float:
         # an attempt is given up once its answer is worth little, or a backlog of such work builds up
         end = job.arrived + job.klass.aim if job.klass.late_share < WORTH_WAITING else job.request.deadline
@@ -772,6 +831,8 @@
         kind = (job.klass.name, job.throttle.plan.name)
         if outcome is Outcome.TURNED_AWAY:  # maybe for no other plan or class: no sign of its health
             return server.full.update({kind: self.now + FULL_FOR})
+        if outcome is Outcome.NO_CONNECTION and self.now - server.crowded < CROWDED_FOR:
+            return None  # it took no more from here, and serves
         bad, late = outcome is not Outcome.SERVED, elapsed > LATE_AT * job.klass.aim
         self.fleet_fails += BLEND / 4 * ((bad or late) - self.fleet_fails)
         if not attempt.overdue and outcome in (Outcome.SERVED, Outcome.TIMED_OUT):
@@ -783,6 +844,7 @@
             server.bad = max(min(2 * server.bad + held, WORST), WORST / 2 if dead else 0.0)
             return None
         server.bad /= 2
+        self.take_more(server)
         self.greet.pop(server.backend.address, None)
         server.full.pop(kind, None)
         for key in ((job.klass.name, job.request.units), (job.klass.name, 0.0)):
@@ -832,6 +894,8 @@
         if key == "list":
             return self.actions.append(Subscribe())
         kind, rest = key[:1], key[1:]
+        if kind == "w":
+            return self.warm(rest)
         second, _, after = rest.partition(" ")
         if kind in "oh":
             job = self.jobs.get(int(after or rest))
@@ -861,6 +925,7 @@
         if event.kind is ListKind.FAILED:
             delay = self.settings.ask_every / 8 * (0.5 + self.random.random())
             return self.actions.append(SetTimer(max(delay, EPS), "list"))
+        before = set(self.servers)
         if event.kind is not ListKind.CHANGES:
             named = {b.address for b in event.backends}
             self.servers = {a: s for a, s in self.servers.items() if a in named}
@@ -874,6 +939,9 @@
             else:
                 server.backend = backend
         self.put_in_order()
+        if self.settings.pool.warm:
+            for address in self.servers.keys() - before:
+                self.actions.append(SetTimer(max(WARM_OVER * self.random.random(), EPS), "w" + address))
         if event.kind is ListKind.REMEMBERED and not self.settings.list_pushed:
             self.actions.append(Subscribe())
 
--- a/embersill/interface.py
+++ b/embersill/interface.py
@@ -81,6 +81,19 @@
     beyond_cost: float
 
 
+@dataclass(frozen=True, slots=True)
+class PoolSettings:
+    """How connections to backends are kept: docs/pools.md tells what each part was measured to bring."""
+
+    margin: float = 1.0  # seconds before the backends' idle limit at which a connection is closed here
+    max_age: float = 0.0  # seconds, from which a connection is closed at its next end of use; 0: never
+    opening: int = 64  # opens under way at once
+    opening_each: int = 8  # to one backend
+    sized: bool = False  # the module says how many idle ones are kept
+    warm: bool = False  # one is opened ahead at a backend that begins to serve
+    learned: bool = True  # what a backend accepts is learned from failed opens
+
+
 @dataclass(frozen=True, slots=True)
 class Settings:
     me: int
@@ -105,6 +118,7 @@
     report_fields: tuple[str, ...]
     most_units: float
     settles: bool
+    pool: PoolSettings = PoolSettings()
 
 
 @dataclass(frozen=True, slots=True)
@@ -221,9 +235,24 @@
     """The gateway has answered all it took and ends: what the counter was not told is to be told now."""
 
 
+@dataclass(frozen=True, slots=True)
+class OpenFailed:
+    """A backend that was heard from just now took no further connection; so many to it are up."""
+
+    backend: str
+    up: int
+
+
+@dataclass(frozen=True, slots=True)
+class Tuned:
+    """Staff have changed how connections are kept."""
+
+    pool: PoolSettings
+
+
 Event = (
     Request | BackendList | ClientLeft | StreamBegun | AttemptEnded | Counted | Probed | TimerDue | Suspend
-    | Restore | Inherit | Alone | Uploaded | Settle
+    | Restore | Inherit | Alone | Uploaded | Settle | OpenFailed | Tuned
 )
 
 
@@ -284,4 +313,21 @@
     backend: str
 
 
-Action = Send | Refuse | Fail | Cancel | SetTimer | Count | Subscribe | HangUp
+@dataclass(frozen=True, slots=True)
+class Size:
+    """How many idle connections to a backend are kept, and how many of all kinds there may be."""
+
+    backend: str
+    keep: float
+    most: float
+
+
+@dataclass(frozen=True, slots=True)
+class Warm:
+    """Open ahead, until so many connections to a backend are free."""
+
+    backend: str
+    many: int
+
+
+Action = Send | Refuse | Fail | Cancel | SetTimer | Count | Subscribe | HangUp | Size | Warm
--- a/embersill/net/driver.py
+++ b/embersill/net/driver.py
@@ -17,10 +17,10 @@
 from embersill.control import Gateway
 from embersill.interface import (
     Action, Alone, AttemptEnded, Backend, BackendList, Cancel, ClientLeft, Count, Counted, Event, Fail,
-    HangUp, Inherit, Outcome, Refuse, Request, Restore, Send, SetTimer, Settle, Status, StreamBegun, Suspend,
-    TimerDue, Uploaded,
+    HangUp, Inherit, OpenFailed, Outcome, PoolSettings, Refuse, Request, Restore, Send, SetTimer, Settle,
+    Size, Status, StreamBegun, Suspend, TimerDue, Tuned, Uploaded, Warm,
 )
-from embersill.net.backends import Answer, Attempt, Pool
+from embersill.net.backends import Answer, Attempt, Dialer
 from embersill.net.bodies import Sink, Upload
 from embersill.net.counter import Counter
 from embersill.net.discovery import Listing
@@ -84,8 +84,9 @@
 class Driver:
     """Owns the one Gateway of this process."""
 
-    def __init__(self, gateway: Gateway, clock: Callable[[], float], pool: Pool) -> None:
-        self.gateway, self.clock, self.pool = gateway, clock, pool
+    def __init__(self, gateway: Gateway, clock: Callable[[], float], dialer: Dialer) -> None:
+        self.gateway, self.clock, self.dialer, self.pool = gateway, clock, dialer, dialer.pool
+        self.pool.open_failed = lambda backend, up: self.post(OpenFailed(backend, up))
         self.counter: Counter | None = None
         self.loop = asyncio.get_running_loop()
         self.pending: dict[int, Pending] = {}
@@ -100,7 +101,7 @@
         self.reporter = self.loop.call_later(REPORT_EVERY, self.report)
         self.carry: dict[type, Callable[..., None]] = {
             Send: self.send, SetTimer: self.set_timer, Refuse: self.refuse, Fail: self.fail,
-            Cancel: self.cancel, Count: self.count, HangUp: self.hang_up,
+            Cancel: self.cancel, Count: self.count, HangUp: self.hang_up, Size: self.size, Warm: self.warm,
         }
 
     # what happened
@@ -235,7 +236,7 @@
         pending.out += 1
         if pending.over or now >= pending.end:
             return attempt.end(Answer(Outcome.NOT_SENT))
-        return self.pool.start(attempt)
+        return self.dialer.start(attempt)
 
     def cancel(self, action: Cancel) -> None:
         pending = self.pending.get(action.request)
@@ -262,6 +263,12 @@
     def hang_up(self, action: HangUp) -> None:
         self.pool.hang_up(action.backend)
 
+    def size(self, action: Size) -> None:
+        self.pool.set_size(action.backend, action.keep, action.most)
+
+    def warm(self, action: Warm) -> None:
+        self.pool.warm(action.backend, action.many)
+
     # final answers
 
     def finish_number(self, number: int, status: int, body: bytes = b"", headers: bytes = b"") -> None:
@@ -310,15 +317,24 @@
         if text:
             listed, down = len(self.gateway.servers), self.gateway.down()
             age = f", list {self.list_age():.0f} s old" if self.list_age else ""
-            log.info("%s; open %d, listed %d, down %d%s", text, self.unanswered, listed, down, age)
+            links, idle = len(self.pool.links), self.pool.idle()
+            log.info("%s; open %d, connections %d, idle %d, listed %d, down %d%s",
+                     text, self.unanswered, links, idle, listed, down, age)
         self.gateway.given_up.clear()
 
     def metrics(self) -> str:
         """The figures as they are now, for the console."""
         more = {"list_age_s": round(self.list_age())} if self.list_age else {}
+        pool = {name.replace(" ", "_"): number for name, number in sorted(self.pool.figures.items())}
         return self.figures.text(
-            backend_calls=self.pool.written, inflight=self.unanswered,
-            hosts_listed=len(self.gateway.servers), hosts_down=self.gateway.down(), **more)
+            backend_calls=self.dialer.written, inflight=self.unanswered,
+            hosts_listed=len(self.gateway.servers), hosts_down=self.gateway.down(),
+            pool_connections=len(self.pool.links), pool_idle=self.pool.idle(), **pool, **more)
+
+    def tune(self, pool: PoolSettings) -> None:
+        """Staff have changed how connections are kept."""
+        self.pool.settings = pool
+        self.post(Tuned(pool))
 
     def suspend(self, backend: str) -> bool:
         """Takes a backend out; False where it was never listed."""
--- a/embersill/net/handover.py
+++ b/embersill/net/handover.py
@@ -229,7 +229,7 @@
 
     def holds(self) -> Message:
         pool, clients = self.driver.pool, len(self.front.connections)
-        return {"clients": clients, "backends": len(pool.connections) + len(pool.dialling)}
+        return {"clients": clients, "backends": len(pool.links)}
 
     def tell_holds(self) -> None:
         if self.gave and self.link is not None:
--- a/embersill/settings.py
+++ b/embersill/settings.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 from typing import Any
 
-from embersill.interface import Plan, Repeats, RequestClass, Scope, Settings, Status
+from embersill.interface import Plan, PoolSettings, Repeats, RequestClass, Scope, Settings, Status
 
 REPEATS = {"repeatable": Repeats.SAFE, "by_key": Repeats.BY_KEY, "once": Repeats.ONCE}
 SCOPES = {"all": Scope.ALL, "zone": Scope.ZONE, "cell": Scope.CELL}
@@ -84,3 +84,27 @@
     if dial <= 0 or keep <= 0:
         raise ValueError("settings: dial_timeout and keepalive must be above nought")
     return Limits(dial / 1000.0, keep / 1000.0)
+
+
+# of each number in `pool`, the least and the most that makes sense; those of whole numbers are whole
+POOL_RANGES: dict[str, tuple[float, float]] = {
+    "margin": (0.0, 3600.0), "max_age": (0.0, 86_400.0), "opening": (1, 4096), "opening_each": (1, 4096)}
+
+
+def read_pool(told: Any) -> PoolSettings:
+    """The part `pool` of a gateway's configuration, all of it optional; ValueError names what is wrong."""
+    if not isinstance(told, dict):
+        raise ValueError("pool is no object")
+    kinds = {f.name: type(f.default) for f in fields(PoolSettings)}
+    for key, value in told.items():
+        if key not in kinds:
+            raise ValueError(f"pool: unknown key {key!r}; known are {', '.join(kinds)}")
+        if kinds[key] is bool and not isinstance(value, bool):
+            raise ValueError(f"pool: {key} is neither true nor false: {value!r}")
+        if kinds[key] is not bool:
+            least, most = POOL_RANGES[key]
+            whole = "whole number" if kinds[key] is int else "number"
+            number = isinstance(value, int if kinds[key] is int else int | float)
+            if isinstance(value, bool) or not number or not least <= value <= most:
+                raise ValueError(f"pool: {key} is no {whole} from {least:g} to {most:g}: {value!r}")
+    return PoolSettings(**told)
--- a/tests/bed.py
+++ b/tests/bed.py
@@ -14,6 +14,8 @@
 import uvloop
 
 from embersill.__main__ import Program, build_configuration
+from embersill.net.backends import BackendConnection
+from embersill.net.pool import Pool
 from tests.peers import (
     HOST, SOON, Asked, BackendPeer, CounterPeer, DiscoveryPeer, read_message, settings_text,
 )
@@ -97,6 +99,10 @@
             return await self.reader.read(1) == b""
 
 
+def links(pool: Pool) -> list[BackendConnection]:
+    return [link for link in pool.links if isinstance(link, BackendConnection)]
+
+
 class Bed:
     def __init__(self, backends: int) -> None:
         self.backends = [BackendPeer() for _ in range(backends)]
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -45,6 +45,7 @@
 @pytest.mark.parametrize(("key", "wrong"), [
     ("listen", None), ("listen", "nowhere"), ("discovery", f"{HOST}:x"), ("counter", None), ("seed", "xyz"),
     ("known", {}), ("settings", {}), ("limits", {}), ("limits", {"sockets": 3}),
+    ("pool", {"opening": 0}),
 ])
 def test_a_wrong_configuration_is_told_in_one_line(key: str, wrong: Any, tmp_path: pathlib.Path) -> None:
     text = told()
@@ -168,6 +169,28 @@
     run(test)
 
 
+def test_a_reload_takes_new_pool_settings_and_keeps_the_old_where_they_are_out_of_form(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def test() -> None:
+        console = free_port()
+        async with process(tmp_path, console=f"{HOST}:{console}") as (bed, child):
+            path = tmp_path / "config.json"
+            told = json.loads(path.read_text())
+            client = await bed.client()
+            for number, pool in enumerate(({"margin": "x"}, {"margin": 14.9})):
+                path.write_text(json.dumps({**told, "pool": pool}))
+                child.send_signal(signal.SIGHUP)
+                line = (await child.stderr.readline()).decode()
+                assert ("the configuration stays as it was" in line) == (not number), line
+                assert (await client.ask(request(number)))[0] == 200
+            await asyncio.sleep(0.2)  # longer than connections may now stand idle
+            assert (await client.ask(request(2)))[0] == 200
+            assert bed.backends[0].connections == 2
+
+    run(test)
+
+
 def test_more_clients_than_descriptors_are_all_answered(tmp_path: pathlib.Path) -> None:
     # the loop's own server closes a connection that it has no descriptor for, with the request on it
     async def test() -> None:
