--- a/embersill/control.py
+++ b/embersill/control.py
@@ -67,6 +67,7 @@
 WIDE_BANK = 2.0  # requests that a slice must hold there, or it goes by the counter's level
 LINKS_MORE = 0.5  # seconds between tries of one more connection at a full backend, of all gateways together
 LINKS_SPARE = 8.0  # connections above what may be out from which a learned bound says nothing any more
+CROWDED_IDLE = 1.0  # seconds that a connection to a full backend is kept idle: others wait for its place
 CROWDED_FOR = 0.1  # seconds in which the attempt that found the table full is told of as well
 LOAD_OVER = 10.0  # seconds over which the use of a backend's connections is averaged: some idle limits' worth
 LOAD_CHANCE = 2.0  # standard deviations of what is out at once, above its mean, for which idle ones are kept
@@ -738,7 +739,11 @@
 
     def try_more_later(self, server: Server) -> None:
         server.more_at = self.now + LINKS_MORE * self.settings.gateways * (0.5 + self.random.random())
-        self.actions.append(Size(server.backend.address, server.keep, server.links))
+        self.tell_size(server)
+
+    def tell_size(self, server: Server) -> None:
+        idle_for = CROWDED_IDLE if server.links < inf else inf  # room in a full table goes round by use
+        self.actions.append(Size(server.backend.address, server.keep, server.links, idle_for))
 
     def take_more(self, server: Server) -> None:
         """Raises a learned bound slowly, as each of many gateways does so on its own."""
@@ -756,7 +761,7 @@
         keep = max(float(server.place < COVER), ceil(server.load + LOAD_CHANCE * sqrt(server.load)))
         if keep != server.keep:
             server.keep = keep
-            self.actions.append(Size(server.backend.address, keep, server.links))
+            self.tell_size(server)
 
     def warm(self, address: str) -> None:
         """Opens ahead at a backend that this gateway will use, and does not yet."""
@@ -940,7 +945,7 @@
                 server.backend = backend
         self.put_in_order()
         if self.settings.pool.warm:
-            for address in self.servers.keys() - before:
+            for address in [a for a in self.servers if a not in before]:
                 self.actions.append(SetTimer(max(WARM_OVER * self.random.random(), EPS), "w" + address))
         if event.kind is ListKind.REMEMBERED and not self.settings.list_pushed:
             self.actions.append(Subscribe())
--- a/embersill/interface.py
+++ b/embersill/interface.py
@@ -315,11 +315,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Size:
-    """How many idle connections to a backend are kept, and how many of all kinds there may be."""
+    """How many idle connections to a backend are kept, how many of all kinds there may be, and how long
+
+    one is kept idle, in seconds: never longer than the backends' idle limit allows.
+    """
 
     backend: str
     keep: float
     most: float
+    idle_for: float
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/embersill/lab/__init__.py
@@ -0,0 +1,1 @@
+"""A laboratory: whole deployments in virtual time. The gateway never loads it."""
--- /dev/null
+++ b/embersill/lab/scenario.py
@@ -0,0 +1,173 @@
+"""The form of a scenario: a fleet, its load, and what goes wrong when, in TOML. All times are seconds."""
+
+from __future__ import annotations
+
+import pathlib
+import tomllib
+from typing import Annotated, Any, Literal
+
+import msgspec
+from msgspec import Meta, field
+
+Positive = Annotated[float, Meta(gt=0.0)]
+Some = Annotated[float, Meta(ge=0.0)]
+Part = Annotated[float, Meta(ge=0.0, le=1.0)]
+Number = Annotated[int, Meta(ge=1, le=5000)]
+
+
+class BadScenario(Exception):
+    """What is wrong with a scenario, and where, in one line."""
+
+
+class Form(msgspec.Struct, forbid_unknown_fields=True):
+    """One table of the file."""
+
+
+class Fleet(Form):
+    gateways: Number
+    backends: Number
+    zones: Annotated[tuple[str, ...], Meta(min_length=1, max_length=26)] = ("a",)
+    cell_size: Number = 6
+
+
+class BackendForm(Form):
+    """A machine: `cores` at work, at most `slots` requests on them at a time, the rest in line."""
+
+    cores: Number = 3
+    speed: Positive = 1.0  # of a core, against the work that a class states
+    speed_spread: Part = 0.0  # of it, either way, by which backends differ
+    slots: Number = 12
+    queue: Number = 60
+    connections: Number = 1200  # more are refused
+    handshake_s: Some = 0.001  # of its cores, for each new connection
+    cold_from: Positive = 0.3  # of its speed, just after a start
+    warm_within: Positive = 12.0
+    fall_multiple: Positive = 2.0  # of its capacity over `overload_for`, at which a cold one falls over
+    overload_for: Positive = 2.0
+
+
+class Net(Form):
+    """One way, in seconds; each message takes up to `jitter` of it more."""
+
+    client: Some = 0.0007
+    same: Some = 0.0002
+    cross: Some = 0.002
+    jitter: Part = 0.2
+    dial_timeout: Positive = 0.25
+    keepalive: Positive = 15.0
+
+
+class Counter(Form):
+    per_s: Positive = 250.0  # calls that each part serves
+    parts: Number = 2
+    delay: Some = 0.001
+    line: Number = 50  # calls waiting at a part, beyond which one is turned away
+    patience: Positive = 0.03
+
+
+class Discovery(Form):
+    lag: Some = 1.0  # seconds until a gateway hears of a change, drawn up to twice this
+
+
+class Class(Form, kw_only=True):
+    name: str
+    share: Part
+    work: Positive  # seconds of one core
+    spread: Some = 1.0  # standard deviation of the work, in its mean
+    aim: Positive
+    deadline: Positive
+    worth: Some = 1.0
+    late_share: Part = 0.0
+    semantics: Literal["repeatable", "by_key", "once"] = "repeatable"
+    scope: Literal["all", "zone", "cell"] = "all"
+    memory: Some = 10.0
+
+
+class PlanForm(Form, kw_only=True):
+    """`share` of the load is this plan's; a customer asks `use` of its rate, `heavy_use` if it is heavy."""
+
+    name: str
+    share: Part
+    rate: Positive
+    burst: Positive
+    ceiling: Some = 0.0  # times rate and burst; 0: none
+    price: Some = 1.0
+    over_cost: Some = 0.5
+    spread: Part = 1.0  # of the gateways that a customer's requests come through
+    use: Positive = 0.4
+    heavy: Part = 0.1  # of the customers
+    heavy_use: Positive = 3.0
+
+
+class Load(Form):
+    """Load inside the quotas, as a share of what the backends can do."""
+
+    inside: Positive = 0.6
+    skew: Some = 0.5  # how unevenly a customer's requests come through its gateways
+    retries: Annotated[int, Meta(ge=0, le=10)] = 2
+    backoff: Positive = 0.3
+    honour: Part = 0.6  # of the clients that come back as a Retry-After says
+
+
+class Fault(Form, kw_only=True):
+    """What goes wrong: at `at`, for `lasts` seconds, at a `part` of the fleet that is drawn."""
+
+    kind: Literal["kill", "hang", "slow", "counter"]
+    at: Some
+    lasts: Positive
+    part: Part = 0.1
+    of: Literal["gateways", "backends"] = "backends"
+    factor: Positive = 5.0  # of "slow"
+
+
+class Scenario(Form, kw_only=True):
+    name: str
+    seconds: Annotated[float, Meta(gt=0.0, le=86_400.0)]
+    fleet: Fleet
+    load: Load
+    classes: Annotated[list[Class], Meta(min_length=1)]
+    plans: Annotated[list[PlanForm], Meta(min_length=1)]
+    backend: BackendForm = field(default_factory=BackendForm)
+    net: Net = field(default_factory=Net)
+    counter: Counter = field(default_factory=Counter)
+    discovery: Discovery = field(default_factory=Discovery)
+    faults: list[Fault] = []
+
+
+def read_scenario(path: pathlib.Path) -> Scenario:
+    """BadScenario names the file, and the key that is wrong."""
+    try:
+        with path.open("rb") as file:
+            return build_scenario(tomllib.load(file))
+    except OSError as error:
+        raise BadScenario(f"{path}: {error.strerror}") from error
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError, BadScenario) as error:
+        raise BadScenario(f"{path}: {error}") from error
+
+
+def build_scenario(told: dict[str, Any]) -> Scenario:
+    try:
+        scenario = msgspec.convert(told, Scenario)
+    except msgspec.ValidationError as error:
+        raise BadScenario(str(error)) from error
+    check(scenario)
+    return scenario
+
+
+def check(scenario: Scenario) -> None:
+    """What single values can't tell."""
+    shares = {
+        "classes": [(c.name, c.share) for c in scenario.classes],
+        "plans": [(p.name, p.share) for p in scenario.plans],
+    }
+    for what, named in shares.items():
+        if len(dict(named)) < len(named):
+            raise BadScenario(f"a name stands twice - at `$.{what}`")
+        total = sum(share for _, share in named)
+        if not 0.999 <= total <= 1.001:
+            raise BadScenario(f"the shares add up to {total:g} and not to 1 - at `$.{what}`")
+    for n, fault in enumerate(scenario.faults):
+        if fault.at >= scenario.seconds:
+            raise BadScenario(f"at {fault.at:g} s all is over - at `$.faults[{n}].at`")
+        if fault.of == "gateways" and fault.kind in ("hang", "slow"):
+            raise BadScenario(f"a gateway can't {fault.kind} here - at `$.faults[{n}].kind`")
--- /dev/null
+++ b/embersill/lab/world.py
@@ -0,0 +1,356 @@
+"""A whole deployment in virtual time: the parts, what goes wrong with them, and what came of it."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter as Tally
+from dataclasses import dataclass, field
+from functools import partial
+from math import ceil
+from typing import Any
+
+import numpy as np
+from hdrh.histogram import HdrHistogram
+
+from embersill.interface import (
+    Backend, BackendList, ListKind, Outcome, Plan, PoolSettings, Request, RequestClass, Settings, Status,
+)
+from embersill.lab.clock import Clock
+from embersill.lab.counter import CounterService
+from embersill.lab.customers import Arrival, Customer, arrivals, gateway_weights, make_customers, mean_work
+from embersill.lab.machine import Condition, Machine
+from embersill.lab.node import Call, Node
+from embersill.lab.scenario import Class, Fault, Scenario
+from embersill.settings import REPEATS, SCOPES
+
+BEGIN = 1_000_000.0  # the clock's time at the start: some hour of a Unix day
+EARLY, SCANT = 0.1, 0.25  # as in net/driver.py: how long before its client a gateway takes it to be over
+WINDOW = 5.0  # seconds that a row of the service over time covers
+NOTICED = (1.1, 3.7)  # seconds until the front notices a dead gateway
+RESTART = 0.5  # seconds from a gateway's start until it is ready
+MOST_LINKS = 400  # connections to backends that a gateway may have: its part of 1,024 descriptors
+FORGET_EVERY = 60.0  # seconds between clearings of what is over
+REST = 1.0  # seconds after the last deadline until the end
+
+
+@dataclass(slots=True)
+class Try:
+    """A client's request, over all of its tries."""
+
+    customer: Customer
+    klass: Class
+    work: float
+    began: float
+    covered: bool = False  # the quota held its unit when it was last sent on
+    tries: int = 0
+    done: bool = False
+
+    def left(self, now: float) -> float:
+        return self.began + self.klass.deadline - now
+
+    def worth(self) -> float:
+        return self.klass.worth * self.customer.plan.price
+
+
+@dataclass(slots=True)
+class Result:
+    """What came of a run, in worth: asked inside quotas, earned inside them, lost beyond them."""
+
+    asked: float = 0.0
+    earned: float = 0.0
+    overrun: float = 0.0
+    sent_on: Tally[bool] = field(default_factory=Tally)  # tries, by whether the quota covered them
+    ends: Tally[str] = field(default_factory=Tally)  # of first tries: in time, late, refused, failed, lost
+    tries: int = 0
+    rows: dict[int, list[float]] = field(default_factory=dict)  # by window: worth asked, worth earned
+    latency: HdrHistogram = field(default_factory=lambda: HdrHistogram(1, 120_000, 3))  # milliseconds
+
+
+def settings_for(scenario: Scenario, me: int, zone: str, pool: PoolSettings) -> Settings:
+    """What a gateway is told: the same object that a real one reads from its configuration."""
+    classes = tuple(
+        RequestClass(c.name, REPEATS[c.semantics], SCOPES[c.scope], c.memory, c.aim, c.deadline, c.late_share,
+                     c.worth, False)
+        for c in scenario.classes)
+    plans = tuple(
+        Plan(p.name, p.rate, p.burst, 0, p.ceiling * p.rate, p.ceiling * p.burst, p.price, 0.0, p.over_cost)
+        for p in scenario.plans)
+    form = scenario.backend
+    return Settings(
+        me=me, gateways=scenario.fleet.gateways, classes=classes, plans=plans, zone=zone, list_pushed=True,
+        ask_every=10.0, counter=True, counter_patience=scenario.counter.patience, counter_price=0.01,
+        may_cancel=True, may_probe=False, second_copies=False, max_attempts=4, max_retry_after=0.5,
+        cold_from=form.cold_from, warm_within=form.warm_within, fall_multiple=form.fall_multiple,
+        overload_for=form.overload_for, report_fields=(), most_units=1.0, settles=False, pool=pool)
+
+
+class Way:
+    """The network from one gateway."""
+
+    def __init__(self, scenario: Scenario, zone: str, dice: random.Random) -> None:
+        self.net, self.zone, self.dice = scenario.net, zone, dice
+
+    def delay(self, machine: Machine) -> float:
+        base = self.net.same if machine.zone == self.zone else self.net.cross
+        return base * (1.0 + self.net.jitter * self.dice.random())
+
+    def client(self) -> float:
+        return self.net.client * (1.0 + self.net.jitter * self.dice.random())
+
+
+class World:
+    """All parts, made from a scenario and a seed: the same two give the same run, to the last byte."""
+
+    def __init__(self, scenario: Scenario, seed: int, pool: PoolSettings | None = None) -> None:
+        self.scenario, self.seed, self.pool = scenario, seed, pool or PoolSettings()
+        self.clock = Clock(BEGIN)
+        # a generator for each part: more draws by one shift no other's
+        self.load, self.habit, self.chaos, self.parts = map(
+            np.random.default_rng, np.random.SeedSequence(seed).spawn(4))
+        self.counter = CounterService(self.clock, scenario.counter)
+        self.machines = self.make_machines()
+        self.seeds = [int(n) for n in self.parts.integers(0, 2**62, scenario.fleet.gateways)]
+        self.starts = Tally[int]()
+        self.nodes = [self.start(n) for n in range(scenario.fleet.gateways)]
+        self.heard_dead = [BEGIN] * len(self.nodes)  # from when the front knows that one is dead
+        capacity = sum(m.capacity() for m in self.machines.values())
+        self.customers = make_customers(scenario, capacity, self.load)
+        self.weights = {w: gateway_weights(w, scenario.load.skew) for w in {c.width for c in self.customers}}
+        self.arrivals = arrivals(scenario, self.customers, self.load)
+        self.result = Result()
+        self.old: list[Node] = []
+
+    def make_machines(self) -> dict[str, Machine]:
+        fleet, form = self.scenario.fleet, self.scenario.backend
+        work = mean_work(self.scenario.classes)
+        speeds = form.speed * (1.0 + form.speed_spread * (2.0 * self.parts.random(fleet.backends) - 1.0))
+        made = [
+            Machine(self.clock, form, f"b{n}", fleet.zones[n % len(fleet.zones)],
+                    n // (len(fleet.zones) * fleet.cell_size), float(speeds[n]), work)
+            for n in range(fleet.backends)]
+        return {m.name: m for m in made}
+
+    # gateways
+
+    def start(self, me: int) -> Node:
+        scenario = self.scenario
+        zone = scenario.fleet.zones[me % len(scenario.fleet.zones)]
+        seed = self.seeds[me] + self.starts[me]
+        self.starts[me] += 1
+        way = Way(scenario, zone, random.Random(seed))
+        node = Node(self.clock, settings_for(scenario, me, zone, self.pool), seed, way, self.machines,
+                    self.counter, MOST_LINKS, scenario.net.dial_timeout, scenario.net.keepalive)
+        node.hear(BackendList(ListKind.WHOLE, tuple(self.entry(m) for m in self.machines.values())))
+        return node
+
+    def entry(self, machine: Machine) -> Backend:
+        return Backend(machine.name, machine.zone, "k", machine.cell, Status.SERVING, 1.0, machine.started)
+
+    def kill(self, me: int, lasts: float) -> None:
+        node = self.nodes[me]
+        if not node.alive:
+            return
+        self.old.append(node)
+        notice = float(self.chaos.uniform(*NOTICED))
+        self.heard_dead[me] = self.clock.now + notice
+        for call in node.die():
+            call.answered(Outcome.BROKEN, 0.0)
+        self.clock.later(lasts + RESTART, lambda: self.restart(me))
+
+    def restart(self, me: int) -> None:
+        self.nodes[me] = self.start(me)
+
+    # clients
+
+    def play(self) -> Result:
+        """The whole run."""
+        for fault in self.scenario.faults:
+            self.clock.later(fault.at, partial(self.strike, fault))
+        self.clock.later(FORGET_EVERY, self.forget)
+        self.next_arrival()
+        longest = max(c.deadline for c in self.scenario.classes)
+        self.clock.run(BEGIN + self.scenario.seconds + longest + REST)
+        return self.result
+
+    def next_arrival(self) -> None:
+        arrival = next(self.arrivals, None)
+        if arrival is not None:
+            at = BEGIN + arrival.at
+            self.clock.later(max(at - self.clock.now, 0.0), lambda: self.arrive(arrival))
+
+    def arrive(self, arrival: Arrival) -> None:
+        customer = self.customers[arrival.customer]
+        klass, now = self.scenario.classes[arrival.klass], self.clock.now
+        asked = Try(customer, klass, arrival.work, now)
+        if customer.asked.take(now - BEGIN):
+            self.result.asked += asked.worth()
+            self.row(now)[0] += asked.worth()
+        self.send(asked)
+        self.clock.later(klass.deadline, lambda: self.give_up(asked))
+        self.next_arrival()
+
+    def row(self, when: float) -> list[float]:
+        return self.result.rows.setdefault(int((when - BEGIN) // WINDOW), [0.0, 0.0])
+
+    def give_up(self, asked: Try) -> None:
+        if not asked.done:
+            self.end(asked, "lost")
+
+    def end(self, asked: Try, how: str) -> None:
+        asked.done = True
+        self.result.ends[how] += 1
+
+    def gateway_for(self, customer: Customer) -> int:
+        """One of its set that the front does not know to be dead."""
+        weights = self.weights[customer.width]
+        for _ in range(8):
+            place = int(np.searchsorted(weights, self.habit.random(), side="right"))
+            me = (customer.first + min(place, customer.width - 1)) % len(self.nodes)
+            if self.nodes[me].alive or self.clock.now < self.heard_dead[me]:
+                break
+        return me
+
+    def send(self, asked: Try) -> None:
+        if asked.done:
+            return
+        asked.tries += 1
+        self.result.tries += 1
+        node, now = self.nodes[self.gateway_for(asked.customer)], self.clock.now
+        assert isinstance(node.way, Way)
+        budget = asked.left(now)
+        self.clock.later(node.way.client(), lambda: self.reach(asked, node, now + budget))
+
+    def reach(self, asked: Try, node: Node, deadline: float) -> None:
+        if not node.alive:
+            return self.hear(asked, Outcome.NO_CONNECTION, 0.0)
+        now, customer = self.clock.now, asked.customer
+        budget = deadline - now
+        end = now + budget - min(EARLY, SCANT * budget)
+        number = node.number()
+        way = node.way
+        assert isinstance(way, Way)
+
+        def answered(outcome: Outcome, retry_after: float) -> None:
+            self.clock.later(way.client(), lambda: self.hear(asked, outcome, retry_after))
+
+        node.take(
+            Request(number, asked.klass.name, customer.plan.name, customer.name, end, 1.0, customer.width,
+                    customer.first, asked.tries > 1),
+            Call(asked.work, end, lambda: self.sent_on(asked), answered))
+        return None
+
+    def sent_on(self, asked: Try) -> None:
+        asked.covered = asked.customer.used.take(self.clock.now - BEGIN)
+        self.result.sent_on[asked.covered] += 1
+        if not asked.covered:
+            self.result.overrun += asked.customer.plan.over_cost * asked.worth()
+
+    def hear(self, asked: Try, outcome: Outcome, retry_after: float) -> None:
+        """A try's answer has reached its client."""
+        if asked.done:
+            return
+        now = self.clock.now
+        if outcome is Outcome.SERVED:
+            return self.serve(asked, now - asked.began)
+        harmless = outcome in (Outcome.TURNED_AWAY, Outcome.NO_CONNECTION)
+        again = harmless or asked.klass.semantics == "repeatable"
+        pause = self.pause(asked, retry_after)
+        if again and asked.tries <= self.scenario.load.retries and pause < asked.left(now):
+            self.clock.later(pause, lambda: self.send(asked))
+        else:
+            self.end(asked, "refused" if harmless else "failed")
+        return None
+
+    def pause(self, asked: Try, retry_after: float) -> float:
+        """Some clients come back when they are told to, the others after a doubling, jittered time."""
+        if retry_after > 0.0 and self.habit.random() < self.scenario.load.honour:
+            return retry_after
+        return self.scenario.load.backoff * 2.0 ** (asked.tries - 1) * (0.5 + self.habit.random())
+
+    def serve(self, asked: Try, took: float) -> None:
+        in_time = took <= asked.klass.aim
+        self.end(asked, "in time" if in_time else "late")
+        self.result.latency.record_value(max(1, round(1000 * took)))
+        if asked.covered:
+            earned = asked.worth() * (1.0 if in_time else asked.klass.late_share)
+            self.result.earned += earned
+            self.row(asked.began)[1] += earned
+
+    # what goes wrong
+
+    def strike(self, fault: Fault) -> None:
+        size = self.scenario.fleet.gateways if fault.of == "gateways" else self.scenario.fleet.backends
+        drawn = [int(n) for n in self.chaos.permutation(size)[: ceil(fault.part * size)]]
+        if fault.kind == "counter":
+            self.counter.down = True
+            self.clock.later(fault.lasts, self.counter_back)
+        elif fault.of == "gateways":
+            for me in drawn:
+                self.kill(me, fault.lasts)
+        else:
+            for n in drawn:
+                self.hurt(self.machines[f"b{n}"], fault)
+
+    def counter_back(self) -> None:
+        self.counter.down = False
+
+    def hurt(self, machine: Machine, fault: Fault) -> None:
+        if fault.kind == "slow":
+            machine.slow_down(fault.factor)
+            self.clock.later(fault.lasts, lambda: machine.slow_down(1.0))
+        elif fault.kind == "hang":
+            machine.fail(Condition.HANGING)
+            self.clock.later(fault.lasts, lambda: machine.recover(cold=False))
+        else:
+            machine.fail(Condition.DOWN)
+            for node in self.nodes:
+                for wire in node.wires():
+                    if wire.machine is machine:
+                        wire.reset()
+            self.clock.later(fault.lasts, lambda: self.bring_back(machine))
+
+    def bring_back(self, machine: Machine) -> None:
+        """Cold, and told to each gateway in its own time."""
+        machine.recover(cold=True)
+        news = BackendList(ListKind.CHANGES, (self.entry(machine),))
+        lags = self.chaos.random(len(self.nodes)) * 2.0 * self.scenario.discovery.lag
+        for me, lag in enumerate(lags):
+            self.clock.later(float(lag), partial(self.tell, me, news))
+
+    def tell(self, me: int, news: BackendList) -> None:
+        self.nodes[me].hear(news)
+
+    def forget(self) -> None:
+        self.counter.forget()
+        self.clock.later(FORGET_EVERY, self.forget)
+
+    # what came of it
+
+    def report(self) -> dict[str, Any]:
+        """The figures of a run that has been played, the same in every play of it."""
+        result, nodes = self.result, [*self.old, *self.nodes]
+        attempts: Tally[str] = Tally()
+        refusals: Tally[str] = Tally()
+        pool: Tally[str] = Tally()
+        for node in nodes:
+            attempts += node.ends
+            refusals += node.gateway.given_up
+            pool += node.pool.figures
+        loads = [m.busy for m in self.machines.values()]
+        first = sum(result.ends.values())
+        return {
+            "scenario": self.scenario.name, "seed": self.seed,
+            "served": round(result.earned / result.asked, 6) if result.asked else None,
+            "overrun": round(result.overrun / result.asked, 6) if result.asked else None,
+            "sent_beyond": result.sent_on[False], "sent_inside": result.sent_on[True],
+            "requests": first, "tries": result.tries, "ends": dict(sorted(result.ends.items())),
+            "latency_ms": {f"p{p:g}": result.latency.get_value_at_percentile(p) for p in (50, 90, 99, 99.9)},
+            "refusals": dict(sorted(refusals.items())), "attempts": dict(sorted(attempts.items())),
+            "counter": dict(sorted(self.counter.ends.items())),
+            "handshakes": sum(m.handshakes for m in self.machines.values()),
+            "pool": dict(sorted(pool.items())),
+            "load_spread": round(max(loads) / (sum(loads) / len(loads)), 3) if sum(loads) else None,
+            "fallen": sorted(m.name for m in self.machines.values() if m.fell),
+            "service": [[n * WINDOW, round(asked, 3), round(earned, 3)]
+                        for n, (asked, earned) in sorted(result.rows.items())],
+        }
--- a/embersill/net/driver.py
+++ b/embersill/net/driver.py
@@ -264,7 +264,7 @@
         self.pool.hang_up(action.backend)
 
     def size(self, action: Size) -> None:
-        self.pool.set_size(action.backend, action.keep, action.most)
+        self.pool.set_size(action.backend, action.keep, action.most, action.idle_for)
 
     def warm(self, action: Warm) -> None:
         self.pool.warm(action.backend, action.many)
--- a/embersill/net/pool.py
+++ b/embersill/net/pool.py
@@ -91,6 +91,7 @@
     heard: float = float("-inf")  # when an answer last came from there
     keep: float = float("inf")  # idle ones, at the most
     most: float = float("inf")  # of all kinds
+    idle_for: float = float("inf")  # seconds that one is kept idle
 
     def size(self) -> int:
         return len(self.idle) + len(self.opening) + len(self.used)
@@ -115,8 +116,8 @@
         self.figures: Tally[str] = Tally()
         self.open_failed: Callable[[str, int], None] = lambda backend, up: None
 
-    def idle_limit(self) -> float:
-        return max(self.keepalive - self.settings.margin, LEAST_IDLE)
+    def idle_limit(self, place: Place) -> float:
+        return max(min(self.keepalive - self.settings.margin, place.idle_for), LEAST_IDLE)
 
     # what the list and the module say
 
@@ -127,7 +128,7 @@
             return
         self.clear(place, "moved")
         place.address, place.started = address, started
-        place.borne = place.most = place.keep = float("inf")
+        place.borne = place.most = place.keep = place.idle_for = float("inf")
         place.heard = float("-inf")
         self.open_for(backend, place)
 
@@ -152,13 +153,14 @@
 
     def forget_others(self, known: Iterable[str]) -> None:
         """After a whole list: what it does not name is gone."""
-        for backend in self.places.keys() - set(known):
+        known = set(known)
+        for backend in [b for b in self.places if b not in known]:
             self.retire(backend)
 
-    def set_size(self, backend: str, keep: float, most: float) -> None:
+    def set_size(self, backend: str, keep: float, most: float, idle_for: float) -> None:
         place = self.places.get(backend)
         if place is not None:
-            place.keep, place.most = keep, most
+            place.keep, place.most, place.idle_for = keep, most, idle_for
             while len(place.idle) > keep:
                 self.close(place, place.idle[0], "surplus")
             self.open_for(backend, place)
@@ -219,7 +221,7 @@
         while place.idle:
             link = place.idle[-1]
             link.idled = now - link.idle_since
-            if link.idled >= min(place.borne, self.idle_limit()) or now >= link.retire_at:
+            if link.idled >= min(place.borne, self.idle_limit(place)) or now >= link.retire_at:
                 self.close(place, link, "aged")
             elif not link.is_fit():
                 self.close(place, link, "stale")
@@ -354,14 +356,14 @@
         if place is not None:
             place.heard = self.clock()
             if link.idled > SHORTER * place.borne:
-                place.borne = min(LONGER * place.borne, self.idle_limit())
+                place.borne = min(LONGER * place.borne, self.idle_limit(place))
 
     def broke(self, link: Link, sent_at: float) -> None:
         """It broke under an attempt: a kept one that was dead already tells that they are kept too long."""
         place = self.places.get(link.backend)
         self.figures["pool broke reused" if link.reused and link.idled else "pool broke new"] += 1
         if place is not None and link.idled and self.clock() - sent_at < AT_ONCE:
-            place.borne = max(SHORTER * min(link.idled, place.borne, self.idle_limit()), LEAST_IDLE)
+            place.borne = max(SHORTER * min(link.idled, place.borne, self.idle_limit(place)), LEAST_IDLE)
 
     def ended(self, link: Link) -> None:
         """It holds no descriptor any more, whoever closed it."""
@@ -416,8 +418,8 @@
     def sweep(self) -> None:
         """Closes what has been idle for long, or is old; the longest idle stand first."""
         now = self.clock()
-        before = now - self.idle_limit()
         for place in self.places.values():
+            before = now - self.idle_limit(place)
             for link in [k for k in place.idle if k.idle_since < before or now >= k.retire_at]:
                 self.close(place, link, "aged")
 
