--- a/embersill/lab/__main__.py
+++ b/embersill/lab/__main__.py
@@ -13,14 +13,14 @@
 from embersill.lab.world import World
 
 SHIPPED = pathlib.Path(__file__).parent / "scenarios"
-DONE, FAILED, BAD_USE = 0, 1, 2
+DONE, FAILED, BAD_USE, BROKEN = 0, 1, 2, 3
 
 
 def parser() -> argparse.ArgumentParser:
     made = argparse.ArgumentParser(
         prog="python -m embersill.lab",
         description="Plays whole deployments in virtual time.",
-        epilog="Exits with 0: done, 1: a gateway's decisions crashed, 2: bad use.",
+        epilog="Exits with 0: done, 1: a gateway's decisions crashed, 2: bad use, 3: a rule was broken.",
     )
     commands = made.add_subparsers(dest="command", required=True, metavar="run | list")
     run = commands.add_parser("run", help="play a scenario once for each seed")
@@ -57,9 +57,11 @@
             return FAILED
         runs.append(world.report())
         print(show(runs[-1], time.monotonic() - began), flush=True)
+        for breach in runs[-1]["first_breaches"]:
+            print(f"  broken at {breach['at']:.3f} s, {breach['rule']}: {breach['what']}", flush=True)
     if to is not None:
         to.write_text(json.dumps(runs, indent=1) + "\n")
-    return DONE
+    return BROKEN if any(run["breaches"] for run in runs) else DONE
 
 
 def main() -> int:
--- a/embersill/lab/machine.py
+++ b/embersill/lab/machine.py
@@ -23,10 +23,11 @@
 class Job:
     """One request there, until it has its answer or was given up."""
 
-    __slots__ = ("done", "finish", "over", "work")
+    __slots__ = ("done", "finish", "over", "told", "work")
 
-    def __init__(self, work: float, done: Callable[[bool], None]) -> None:
+    def __init__(self, work: float, done: Callable[[Job, bool], None], told: bool = True) -> None:
         self.work, self.done = work, done  # done: with True for an answer, False where it was turned away
+        self.told = told  # its gateway had heard of the machine's last start
         self.finish = 0.0  # on the machine's own count of work per request
         self.over = False  # nobody waits for it; its work goes on, as no site lets it be called off
 
@@ -50,8 +51,9 @@
         self.connections = 0
         self.served = self.turned_away = self.refused = self.handshakes = 0
         self.busy = 0.0  # seconds of cores spent
-        self.recent: deque[float] = deque()  # arrivals while it is cold
+        self.recent: deque[tuple[float, bool]] = deque()  # arrivals while cold, and if told
         self.fell = False
+        self.fallen: Callable[[Machine, int, int], None] = lambda machine, told, work: None
 
     # what it can do
 
@@ -97,7 +99,7 @@
         for job in done:
             self.served += not job.over
             if not job.over:
-                job.done(True)
+                job.done(job, True)
 
     def begin(self, job: Job) -> None:
         job.finish = self.attained + job.work
@@ -109,7 +111,7 @@
         """A whole request has come."""
         if self.condition is not Condition.UP:
             return
-        self.note_arrival()
+        self.note_arrival(job.told)
         self.turn()
         if len(self.running) < self.form.slots:
             self.begin(job)
@@ -118,7 +120,7 @@
             self.line.append(job)
         else:
             self.turned_away += 1
-            job.done(False)
+            job.done(job, False)
 
     def give_up(self, job: Job) -> None:
         """Its client closed: one in line is dropped, one that runs goes on for nothing."""
@@ -126,17 +128,18 @@
         if job in self.line:
             self.line.remove(job)
 
-    def note_arrival(self) -> None:
+    def note_arrival(self, told: bool) -> None:
         """A cold one that gets more than a multiple of what it can do, for long enough, falls over."""
         if self.started is None or self.share() >= 1.0:
             return
         now, form = self.clock.now, self.form
-        self.recent.append(now)
-        while self.recent[0] < now - form.overload_for:
+        self.recent.append((now, told))
+        while self.recent[0][0] < now - form.overload_for:
             self.recent.popleft()
         most = form.fall_multiple * self.capacity() * form.overload_for
         if len(self.recent) > most + 2.0 * most**0.5 + 2.0:  # chance alone brings some more
             self.fell = True
+            self.fallen(self, sum(told for _, told in self.recent), len(self.recent))
             self.fail(Condition.DOWN)
 
     def connect(self) -> bool:
--- a/embersill/lab/node.py
+++ b/embersill/lab/node.py
@@ -4,6 +4,7 @@
 
 from collections import Counter as Tally
 from collections.abc import Callable
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from embersill.control import Gateway
@@ -15,6 +16,8 @@
 from embersill.lab.clock import Event as Due
 from embersill.lab.counter import CounterService
 from embersill.lab.machine import Condition, Job, Machine
+from embersill.lab.rules import Rules
+from embersill.lab.scenario import Class, PlanForm
 from embersill.net.pool import Address, Failure, Link, Pool, State, Waiter
 
 SWEEP_EVERY = 1.0  # seconds between the pool's looks for idle connections, as in net/backends.py
@@ -27,17 +30,23 @@
     def delay(self, machine: Machine) -> float: ...
 
 
+@dataclass(slots=True)
 class Call:
-    """A client's try here, until it has its answer."""
+    """A client's try here, until it has its answer.
 
-    __slots__ = ("answered", "end", "sent_on", "tries", "work")
+    `deadline` is its client's, `end` the gateway's, a little before. `sent_on` is called at the first
+    attempt, which takes its unit from the quota; `answered` with SERVED, TURNED_AWAY for a refusal (and its
+    Retry-After), or ERROR for a failure.
+    """
 
-    def __init__(self, work: float, end: float, sent_on: Callable[[], None],
-                 answered: Callable[[Outcome, float], None]) -> None:
-        # sent_on: at the first attempt, which takes its unit from the quota
-        # answered: with SERVED, TURNED_AWAY for a refusal (and its Retry-After), ERROR for a failure
-        self.work, self.end, self.sent_on, self.answered = work, end, sent_on, answered
-        self.tries: list[Attempt] = []
+    klass: Class
+    plan: PlanForm
+    work: float
+    deadline: float
+    end: float
+    sent_on: Callable[[], None]
+    answered: Callable[[Outcome, float], None]
+    tries: list[Attempt] = field(default_factory=list)
 
 
 class Attempt:
@@ -105,8 +114,9 @@
         self.attempt, attempt.link = attempt, self
         work = self.node.work(attempt.number) + (self.machine.form.handshake_s if self.first else 0.0)
         self.first = False
-        job = Job(work, lambda served: self.answer(job, served))
-        self.job = job
+        known = self.node.gateway.servers.get(self.backend)
+        told = known is not None and known.backend.started == self.machine.started
+        self.job = job = Job(work, self.answer, told)
         self.node.written += 1
         self.node.clock.later(self.node.way.delay(self.machine), lambda: self.machine.take(job))
 
@@ -156,8 +166,11 @@
 class Node:
     """One process of a gateway, from its start to its end."""
 
-    def __init__(self, clock: Clock, settings: Settings, seed: int, way: Way, machines: dict[str, Machine],
-                 counter: CounterService, most: int, dial_timeout: float, keepalive: float) -> None:
+    def __init__(self, name: str, clock: Clock, settings: Settings, seed: int, way: Way,
+                 machines: dict[str, Machine], counter: CounterService, rules: Rules, most: int,
+                 dial_timeout: float, keepalive: float) -> None:
+        """`name`: of this process, and of no other in the run."""
+        self.name, self.rules = name, rules
         self.clock, self.way, self.machines, self.counter = clock, way, machines, counter
         self.dial_timeout, self.alive = dial_timeout, True
         self.gateway = Gateway(settings, seed, clock.now)
@@ -187,6 +200,7 @@
     def take(self, request: Request, call: Call) -> None:
         """A client's try; `request` has a number of this gateway's, from `number`."""
         self.calls[request.id] = call
+        self.rules.taken(self.name, request.id, call.klass, request.customer, call.deadline)
         self.post(request)
 
     def number(self) -> int:
@@ -218,6 +232,7 @@
         if not self.alive:
             return
         self.ends[outcome.value] += 1
+        self.rules.ended(self.name, attempt.number, attempt.place, outcome)
         if outcome is Outcome.SERVED:
             self.finish(attempt.number, Outcome.SERVED)
         over = attempt.number not in self.calls
@@ -265,6 +280,7 @@
         call = self.calls.get(action.request)
         if call is None:
             return
+        self.rules.sent(self.name, action.request, self.machines[action.backend], call.plan, self.clock.now)
         if not call.tries:
             call.sent_on()
         until = call.end if action.timeout <= 0 else min(call.end, self.clock.now + action.timeout)
@@ -275,6 +291,7 @@
     def finish(self, number: int, outcome: Outcome, retry_after: float = 0.0) -> None:
         call = self.calls.pop(number, None)
         if call is not None:
+            self.rules.answered(self.name, number, outcome, self.clock.now)
             call.answered(outcome, retry_after)
             for attempt in call.tries:
                 if not attempt.ended and attempt.link is None:
@@ -285,6 +302,7 @@
     def die(self) -> list[Call]:
         """At once, as by SIGKILL: connections end, and what was taken has no answer. Those calls."""
         self.alive = False
+        self.rules.died(self.name)
         for link in self.wires():
             if link.attempt is not None:
                 link.attempt.timer.cancel()
--- a/embersill/lab/world.py
+++ b/embersill/lab/world.py
@@ -20,6 +20,7 @@
 from embersill.lab.customers import Arrival, Customer, arrivals, gateway_weights, make_customers, mean_work
 from embersill.lab.machine import Condition, Machine
 from embersill.lab.node import Call, Node
+from embersill.lab.rules import Rules
 from embersill.lab.scenario import Class, Fault, Scenario
 from embersill.settings import REPEATS, SCOPES
 
@@ -30,6 +31,7 @@
 RESTART = 0.5  # seconds from a gateway's start until it is ready
 MOST_LINKS = 400  # connections to backends that a gateway may have: its part of 1,024 descriptors
 FORGET_EVERY = 60.0  # seconds between clearings of what is over
+MOST_BREACHES = 20  # that a report tells one by one
 REST = 1.0  # seconds after the last deadline until the end
 
 
@@ -108,6 +110,7 @@
         self.load, self.habit, self.chaos, self.parts = map(
             np.random.default_rng, np.random.SeedSequence(seed).spawn(4))
         self.counter = CounterService(self.clock, scenario.counter)
+        self.rules = Rules()
         self.machines = self.make_machines()
         self.seeds = [int(n) for n in self.parts.integers(0, 2**62, scenario.fleet.gateways)]
         self.starts = Tally[int]()
@@ -128,6 +131,8 @@
             Machine(self.clock, form, f"b{n}", fleet.zones[n % len(fleet.zones)],
                     n // (len(fleet.zones) * fleet.cell_size), float(speeds[n]), work)
             for n in range(fleet.backends)]
+        for machine in made:
+            machine.fallen = lambda m, told, work: self.rules.fell(m, told, work, self.clock.now)
         return {m.name: m for m in made}
 
     # gateways
@@ -135,11 +140,12 @@
     def start(self, me: int) -> Node:
         scenario = self.scenario
         zone = scenario.fleet.zones[me % len(scenario.fleet.zones)]
-        seed = self.seeds[me] + self.starts[me]
+        seed, name = self.seeds[me] + self.starts[me], f"n{me}.{self.starts[me]}"
         self.starts[me] += 1
         way = Way(scenario, zone, random.Random(seed))
-        node = Node(self.clock, settings_for(scenario, me, zone, self.pool), seed, way, self.machines,
-                    self.counter, MOST_LINKS, scenario.net.dial_timeout, scenario.net.keepalive)
+        settings = settings_for(scenario, me, zone, self.pool)
+        node = Node(name, self.clock, settings, seed, way, self.machines, self.counter, self.rules,
+                    MOST_LINKS, scenario.net.dial_timeout, scenario.net.keepalive)
         node.hear(BackendList(ListKind.WHOLE, tuple(self.entry(m) for m in self.machines.values())))
         return node
 
@@ -170,6 +176,7 @@
         self.next_arrival()
         longest = max(c.deadline for c in self.scenario.classes)
         self.clock.run(BEGIN + self.scenario.seconds + longest + REST)
+        self.rules.end(self.clock.now)
         return self.result
 
     def next_arrival(self) -> None:
@@ -227,7 +234,7 @@
         budget = deadline - now
         end = now + budget - min(EARLY, SCANT * budget)
         number = node.number()
-        way = node.way
+        way, sent_on = node.way, partial(self.sent_on, asked)
         assert isinstance(way, Way)
 
         def answered(outcome: Outcome, retry_after: float) -> None:
@@ -236,7 +243,7 @@
         node.take(
             Request(number, asked.klass.name, customer.plan.name, customer.name, end, 1.0, customer.width,
                     customer.first, asked.tries > 1),
-            Call(asked.work, end, lambda: self.sent_on(asked), answered))
+            Call(asked.klass, customer.plan, asked.work, deadline, end, sent_on, answered))
         return None
 
     def sent_on(self, asked: Try) -> None:
@@ -350,6 +357,10 @@
             "handshakes": sum(m.handshakes for m in self.machines.values()),
             "pool": dict(sorted(pool.items())),
             "load_spread": round(max(loads) / (sum(loads) / len(loads)), 3) if sum(loads) else None,
+            "breaches": len(self.rules.breaches),
+            "first_breaches": [
+                {"rule": b.rule, "at": round(b.at - BEGIN, 6), "what": b.what}
+                for b in self.rules.breaches[:MOST_BREACHES]],
             "fallen": sorted(m.name for m in self.machines.values() if m.fell),
             "service": [[n * WINDOW, round(asked, 3), round(earned, 3)]
                         for n, (asked, earned) in sorted(result.rows.items())],
--- a/embersill/ops/__main__.py
+++ b/embersill/ops/__main__.py
@@ -202,7 +202,8 @@
         state = (
             f"can't be asked: {g['unreachable']}" if "unreachable" in g else f"{g['phase']}, {g['open']} open"
         )
-        print(f"gateway   {name}  {state}{by(g)}")
+        successor = f", goes on at {g['successor']}" if "successor" in g else ""
+        print(f"gateway   {name}  {state}{successor}{by(g)}")
     for name, b in told["backends"].items():
         print(f"backend   {name}  {b['lifecycle']}, zone {b['zone'] or '-'}, cell {b['cell']}{by(b)}")
 
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -10,6 +10,7 @@
 from functools import partial
 from typing import Any
 
+import msgspec
 import pytest
 
 from embersill.interface import Counted, Outcome
@@ -17,7 +18,10 @@
 from embersill.lab.clock import Clock
 from embersill.lab.counter import CounterService
 from embersill.lab.machine import Condition, Job, Machine
-from embersill.lab.scenario import BackendForm, BadScenario, Counter, build_scenario, read_scenario
+from embersill.lab.rules import Rules
+from embersill.lab.scenario import (
+    BackendForm, BadScenario, Class, Counter, PlanForm, build_scenario, read_scenario,
+)
 from embersill.lab.world import World
 from tests.test_program import ROOT
 
@@ -58,7 +62,10 @@
 
 
 def job(clock: Clock, work: float, name: str, ends: list[tuple[str, float]]) -> Job:
-    return Job(work, lambda served: ends.append((name if served else f"{name} refused", round(clock.now, 6))))
+    def done(_: Job, served: bool) -> None:
+        ends.append((name if served else f"{name} refused", round(clock.now, 6)))
+
+    return Job(work, done)
 
 
 def test_requests_share_the_cores_and_wait_in_line() -> None:
@@ -190,3 +197,82 @@
         done = lab("run", str(wrong))
         assert done.returncode == 2 and len(done.stderr.splitlines()) == 1, done.stderr
     assert "calm" in lab("list").stdout
+
+
+def klass(semantics: str = "repeatable", scope: str = "all") -> Class:
+    told = {"name": "k", "share": 1.0, "work": 0.1, "aim": 1.0, "deadline": 5.0, "memory": 3.0}
+    return msgspec.convert(told | {"semantics": semantics, "scope": scope}, Class)
+
+
+CAPPED = PlanForm(name="p", share=1.0, rate=1.0, burst=2.0, ceiling=2.0)  # four units, two a second
+RAN, UNRAN = Outcome.TIMED_OUT, Outcome.NO_CONNECTION
+
+
+@pytest.mark.parametrize(("semantics", "scope", "steps", "rule"), [
+    ("repeatable", "all", ["send 0", RAN, "send 1", Outcome.SERVED, "answer"], ""),
+    ("repeatable", "all", ["send 0", "send 1"], "one at a time"),
+    ("repeatable", "all", ["send 0", Outcome.SERVED, "answer", "answer"], "one answer"),
+    ("repeatable", "all", ["answer", "send 0"], "one answer"),
+    ("repeatable", "all", ["send 0", "wait 6", "answer"], "one answer"),
+    ("repeatable", "all", ["send 0", "wait 6", "end"], "one answer"),
+    ("repeatable", "all", ["send 0", "wait 6", "die", "end"], ""),
+    ("repeatable", "all", ["send 0", RAN, "refuse"], ""),
+    ("once", "all", ["send 0", UNRAN, "send 1", Outcome.SERVED, "answer"], ""),
+    ("once", "all", ["send 0", RAN, "send 1"], "no repeat"),
+    ("once", "all", ["send 0", RAN, "refuse"], "no repeat"),
+    ("once", "all", ["send 0", UNRAN, "refuse"], ""),
+    ("by_key", "all", ["send 0", RAN, "send 1", RAN, "refuse"], ""),
+    ("by_key", "all", ["send 0", RAN, "wait 4", "send 1"], "no repeat"),
+    ("by_key", "cell", ["send 0", RAN, "send 2", Outcome.SERVED, "answer"], ""),  # 0 and 2 are of one cell
+    ("by_key", "cell", ["send 0", RAN, "send 1"], "no repeat"),
+    ("by_key", "zone", ["send 0", RAN, "send 1", Outcome.SERVED, "answer"], ""),
+    ("by_key", "cell", ["send 0", RAN, "refuse"], "no repeat"),
+])
+def test_each_rule_of_a_request_is_tripped_by_a_planted_fault(
+    semantics: str, scope: str, steps: list[Any], rule: str
+) -> None:
+    clock, rules = Clock(), Rules()
+    machines = [Machine(clock, BackendForm(), f"b{n}", "a", n % 2, 1.0, 1.0) for n in range(3)]
+    rules.taken("n0", 1, klass(semantics, scope), "c", 5.0)
+    now, place = 0.0, 0
+    for step in steps:
+        if isinstance(step, Outcome):
+            rules.ended("n0", 1, place - 1, step)
+        elif step in ("answer", "refuse"):
+            rules.answered("n0", 1, Outcome.SERVED if step == "answer" else Outcome.TURNED_AWAY, now)
+        elif step == "die":
+            rules.died("n0")
+        elif step == "end":
+            rules.end(now)
+        elif step.startswith("wait"):
+            now += float(step[5:])
+        else:
+            rules.sent("n0", 1, machines[int(step[5:])], CAPPED, now)
+            place += 1
+    assert [b.rule for b in rules.breaches] == ([rule] if rule else []), rules.breaches
+    assert all("1 at n0" in b.what for b in rules.breaches)
+
+
+def test_a_passed_ceiling_and_a_cold_one_pushed_over_are_breaches() -> None:
+    clock, rules = Clock(), Rules()
+    made = Machine(clock, BackendForm(), "b0", "a", 0, 1.0, 1.0)
+    for number in range(6):  # four, and one below nought; the sixth is too many
+        rules.taken(f"n{number % 2}", number, klass(), "c", 5.0)
+        rules.sent(f"n{number % 2}", number, made, CAPPED, 0.0)
+    assert [b.rule for b in rules.breaches] == ["ceiling"] and "5 at n1" in rules.breaches[0].what
+    rules.taken("n0", 9, klass(), "c", 9.0)
+    rules.sent("n0", 9, made, CAPPED, 1.0)  # two came back meanwhile
+    assert len(rules.breaches) == 1
+    rules.fell(made, 1, 3, 1.0)  # most of it came from those who could not know
+    assert len(rules.breaches) == 1
+    rules.fell(made, 2, 3, 1.0)
+    assert rules.breaches[1].rule == "fail-back" and "b0" in rules.breaches[1].what
+
+
+def test_a_gateway_whose_decisions_break_a_rule_is_found_in_a_run(monkeypatch: pytest.MonkeyPatch) -> None:
+    told = small(faults=[{"kind": "kill", "at": 3.0 + n, "lasts": 0.5, "part": 0.5} for n in range(5)])
+    told["fleet"]["cell_size"] = 1  # in each of three zones
+    assert not played(told)["breaches"]
+    monkeypatch.setattr("embersill.control.group_of", lambda klass, server: "")  # it takes all for one cell
+    found = played(told)
+    assert found["breaches"] and {b["rule"] for b in found["first_breaches"]} == {"no repeat"}
