--- a/embersill/lab/counter.py
+++ b/embersill/lab/counter.py
@@ -14,8 +14,8 @@
 
 
 class CounterService:
-    def __init__(self, clock: Clock, form: CounterForm) -> None:
-        self.clock, self.form = clock, form
+    def __init__(self, clock: Clock, form: CounterForm, zone: str = "") -> None:
+        self.clock, self.form, self.zone = clock, form, zone
         self.free_at = [0.0] * form.parts
         self.totals: dict[str, tuple[float, float]] = {}  # a name's total, and when it is forgotten
         self.down = False
@@ -33,7 +33,7 @@
             told(Counted(name, outcome, self.clock.now - began, total))
 
         if self.down:
-            self.clock.later(form.patience, lambda: tell(Outcome.TIMED_OUT, 0.0))
+            self.stay_silent(name, told)
         elif (begins - arrives) * form.per_s > form.line:
             self.clock.later(form.delay, lambda: tell(Outcome.TURNED_AWAY, 0.0))
         else:
@@ -41,6 +41,12 @@
             back = done + form.delay / 2
             self.clock.later(done - began, lambda: self.serve(name, amount, life, back, began, tell))
 
+    def stay_silent(self, name: str, told: Callable[[Counted], None]) -> None:
+        """A call that nobody hears: its caller gives it up."""
+        self.ends[Outcome.TIMED_OUT.value] += 1
+        patience = self.form.patience
+        self.clock.later(patience, lambda: told(Counted(name, Outcome.TIMED_OUT, patience, 0.0)))
+
     def serve(self, name: str, amount: float, life: float, back: float, began: float,
               tell: Callable[[Outcome, float], None]) -> None:
         now = self.clock.now
--- a/embersill/lab/node.py
+++ b/embersill/lab/node.py
@@ -25,10 +25,18 @@
 
 
 class Way(Protocol):
-    """What the network does between this gateway and a backend."""
+    """What the network does between this gateway and the others."""
 
     def delay(self, machine: Machine) -> float: ...
 
+    def passes(self, zone: str) -> bool:
+        """False while nothing passes between there and here."""
+        ...
+
+    def loses(self) -> bool:
+        """True for an answer that gets lost."""
+        ...
+
 
 @dataclass(slots=True)
 class Call:
@@ -94,8 +102,8 @@
         self.timer = node.clock.later(node.dial_timeout, self.stay_silent)
 
     def come_up(self) -> None:
-        if self.state is not State.OPENING or self.machine.condition is Condition.HANGING:
-            return  # a hanging machine's kernel would take it; its silence shows in the attempt
+        if self.state is not State.OPENING or not self.node.way.passes(self.machine.zone):
+            return
         self.timer.cancel()
         if self.machine.connect():
             self.up = True
@@ -118,10 +126,12 @@
         told = known is not None and known.backend.started == self.machine.started
         self.job = job = Job(work, self.answer, told)
         self.node.written += 1
-        self.node.clock.later(self.node.way.delay(self.machine), lambda: self.machine.take(job))
+        if self.node.way.passes(self.machine.zone):
+            self.node.clock.later(self.node.way.delay(self.machine), lambda: self.machine.take(job))
 
     def answer(self, job: Job, served: bool) -> None:
-        self.node.clock.later(self.node.way.delay(self.machine), lambda: self.receive(job, served))
+        if self.node.way.passes(self.machine.zone) and not self.node.way.loses():
+            self.node.clock.later(self.node.way.delay(self.machine), lambda: self.receive(job, served))
 
     def receive(self, job: Job, served: bool) -> None:
         attempt = self.attempt
@@ -140,9 +150,10 @@
             self.shut()
 
     def reset(self) -> None:
-        """The machine's process is gone."""
+        """It breaks: the machine's process is gone, or something between."""
         if self.up:
             self.up = False
+            self.leave()
             attempt, self.attempt = self.attempt, None
             self.node.pool.ended(self)
             if attempt is not None:
@@ -155,10 +166,13 @@
         self.timer.cancel()
         if self.up:
             self.up = False
-            if self.machine.condition is not Condition.DOWN:
-                self.machine.connections -= 1
+            self.leave()
         self.node.clock.later(0.0, lambda: self.node.pool.ended(self))
 
+    def leave(self) -> None:
+        if self.machine.condition is not Condition.DOWN:
+            self.machine.connections -= 1
+
     def is_fit(self) -> bool:
         return self.up
 
@@ -210,6 +224,7 @@
     def hear(self, event: BackendList) -> None:
         if not self.alive:
             return
+        self.rules.told(self.name, event.backends, self.clock.now)
         for backend in event.backends:
             if backend.status.value == "serving":
                 self.pool.set_address(backend.address, NOWHERE, backend.started)
@@ -260,7 +275,10 @@
             key = action.key
             self.clock.later(action.delay, lambda: self.due(key))
         elif isinstance(action, Count):
-            self.counter.add(action.name, action.amount, action.forget_after, self.counted)
+            if self.way.passes(self.counter.zone):
+                self.counter.add(action.name, action.amount, action.forget_after, self.counted)
+            else:
+                self.counter.stay_silent(action.name, self.counted)
         elif isinstance(action, Refuse):
             self.finish(action.request, Outcome.TURNED_AWAY, action.retry_after)
         elif isinstance(action, Fail):
--- a/embersill/lab/rules.py
+++ b/embersill/lab/rules.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from embersill.interface import Outcome
+from embersill.interface import Backend, Outcome, Status
 from embersill.lab.customers import Store
 from embersill.lab.machine import Machine
 from embersill.lab.scenario import Class, PlanForm
@@ -53,7 +54,10 @@
 class Rules:
     """All checkers over one run. Whoever has died is owed nothing, and owes nothing."""
 
-    def __init__(self) -> None:
+    def __init__(self, stop_within: float = 1.0) -> None:
+        """`stop_within`: seconds after its news in which sends to a drained or gone backend must end."""
+        self.stop_within = stop_within
+        self.drained: dict[tuple[str, str], float] = {}  # by gateway and backend: since when it was told
         self.breaches: list[Breach] = []
         self.open: dict[tuple[str, int], Taken] = {}
         self.ceilings: dict[str, Store] = {}
@@ -63,6 +67,14 @@
 
     # what happens
 
+    def told(self, node: str, listed: Iterable[Backend], now: float) -> None:
+        """A gateway hears of changes."""
+        for backend in listed:
+            if backend.status is Status.SERVING:
+                self.drained.pop((node, backend.address), None)
+            else:
+                self.drained.setdefault((node, backend.address), now)
+
     def taken(self, node: str, number: int, klass: Class, customer: str, deadline: float) -> None:
         self.open[node, number] = Taken(f"{number} at {node}", klass, customer, deadline)
 
@@ -73,6 +85,9 @@
         if any(a.out for a in asked.attempts):
             self.breach("one at a time", now, f"{asked.name} goes to {machine.name} with another out")
         self.check_repeat(asked, machine, now)
+        since = self.drained.get((node, machine.name), now)
+        if now - since > self.stop_within + SLACK:
+            self.breach("drain", now, f"{asked.name} goes to {machine.name}, {now - since:.2f} s late")
         if not asked.attempts and plan.ceiling > 0.0:
             self.draw(asked, plan, now)
         asked.attempts.append(Sent(machine, now))
--- a/embersill/lab/scenario.py
+++ b/embersill/lab/scenario.py
@@ -67,6 +67,7 @@
 
 class Discovery(Form):
     lag: Some = 1.0  # seconds until a gateway hears of a change, drawn up to twice this
+    stop_within: Positive = 1.0  # seconds from then in which sends to a drained backend must end
 
 
 class Class(Form, kw_only=True):
@@ -110,12 +111,19 @@
 
 
 class Fault(Form, kw_only=True):
-    """What goes wrong: at `at`, for `lasts` seconds, at a `part` of the fleet that is drawn."""
+    """What goes wrong: at `at`, for `lasts` seconds, at a `part` of the fleet that is drawn, or in a `zone`.
 
-    kind: Literal["kill", "hang", "slow", "counter"]
+    kill: processes end, and are back cold. hang: taken and not answered. slow: `factor` times as long. drain:
+    the list says so. release: each is drained, ended and started again, one after the other over `lasts`.
+    reset: connections break under their requests. cut: nothing passes between the zone and the others.
+    lost: a `part` of all answers. counter: silent. list: news wait until the end.
+    """
+
+    kind: Literal["kill", "hang", "slow", "drain", "release", "reset", "cut", "lost", "counter", "list"]
     at: Some
     lasts: Positive
     part: Part = 0.1
+    zone: str = ""
     of: Literal["gateways", "backends"] = "backends"
     factor: Positive = 5.0  # of "slow"
 
@@ -169,5 +177,9 @@
     for n, fault in enumerate(scenario.faults):
         if fault.at >= scenario.seconds:
             raise BadScenario(f"at {fault.at:g} s all is over - at `$.faults[{n}].at`")
-        if fault.of == "gateways" and fault.kind in ("hang", "slow"):
-            raise BadScenario(f"a gateway can't {fault.kind} here - at `$.faults[{n}].kind`")
+        if fault.of == "gateways" and fault.kind != "kill":
+            raise BadScenario(f"gateways can't have {fault.kind!r} here - at `$.faults[{n}].kind`")
+        if fault.zone and fault.zone not in scenario.fleet.zones:
+            raise BadScenario(f"there is no zone {fault.zone!r} - at `$.faults[{n}].zone`")
+        if fault.kind == "cut" and not fault.zone:
+            raise BadScenario(f"a cut names a zone - at `$.faults[{n}].zone`")
--- a/embersill/lab/world.py
+++ b/embersill/lab/world.py
@@ -28,7 +28,9 @@
 EARLY, SCANT = 0.1, 0.25  # as in net/driver.py: how long before its client a gateway takes it to be over
 WINDOW = 5.0  # seconds that a row of the service over time covers
 NOTICED = (1.1, 3.7)  # seconds until the front notices a dead gateway
-RESTART = 0.5  # seconds from a gateway's start until it is ready
+RESTART = 0.5  # seconds from a start until it is ready
+DRAINED = 3.0  # seconds that a release leaves a backend to finish what it has
+AGAIN = 0.5  # seconds until news that can't be told now are tried again
 MOST_LINKS = 400  # connections to backends that a gateway may have: its part of 1,024 descriptors
 FORGET_EVERY = 60.0  # seconds between clearings of what is over
 MOST_BREACHES = 20  # that a report tells one by one
@@ -86,16 +88,31 @@
         overload_for=form.overload_for, report_fields=(), most_units=1.0, settles=False, pool=pool)
 
 
+@dataclass(slots=True)
+class Weather:
+    """What the network does to all."""
+
+    cut: set[str] = field(default_factory=set)  # zones
+    lost: float = 0.0  # part of the answers
+    late_until: float = 0.0  # until when news of the list wait
+
+
 class Way:
     """The network from one gateway."""
 
-    def __init__(self, scenario: Scenario, zone: str, dice: random.Random) -> None:
-        self.net, self.zone, self.dice = scenario.net, zone, dice
+    def __init__(self, scenario: Scenario, zone: str, dice: random.Random, weather: Weather) -> None:
+        self.net, self.zone, self.dice, self.weather = scenario.net, zone, dice, weather
 
     def delay(self, machine: Machine) -> float:
         base = self.net.same if machine.zone == self.zone else self.net.cross
         return base * (1.0 + self.net.jitter * self.dice.random())
 
+    def passes(self, zone: str) -> bool:
+        return zone == self.zone or not self.weather.cut & {zone, self.zone}
+
+    def loses(self) -> bool:
+        return self.weather.lost > 0.0 and self.dice.random() < self.weather.lost
+
     def client(self) -> float:
         return self.net.client * (1.0 + self.net.jitter * self.dice.random())
 
@@ -109,8 +126,9 @@
         # a generator for each part: more draws by one shift no other's
         self.load, self.habit, self.chaos, self.parts = map(
             np.random.default_rng, np.random.SeedSequence(seed).spawn(4))
-        self.counter = CounterService(self.clock, scenario.counter)
-        self.rules = Rules()
+        self.counter = CounterService(self.clock, scenario.counter, scenario.fleet.zones[0])
+        self.rules, self.weather = Rules(scenario.discovery.stop_within), Weather()
+        self.leaving: set[str] = set()  # backends that the list shows as draining
         self.machines = self.make_machines()
         self.seeds = [int(n) for n in self.parts.integers(0, 2**62, scenario.fleet.gateways)]
         self.starts = Tally[int]()
@@ -142,7 +160,7 @@
         zone = scenario.fleet.zones[me % len(scenario.fleet.zones)]
         seed, name = self.seeds[me] + self.starts[me], f"n{me}.{self.starts[me]}"
         self.starts[me] += 1
-        way = Way(scenario, zone, random.Random(seed))
+        way = Way(scenario, zone, random.Random(seed), self.weather)
         settings = settings_for(scenario, me, zone, self.pool)
         node = Node(name, self.clock, settings, seed, way, self.machines, self.counter, self.rules,
                     MOST_LINKS, scenario.net.dial_timeout, scenario.net.keepalive)
@@ -150,7 +168,8 @@
         return node
 
     def entry(self, machine: Machine) -> Backend:
-        return Backend(machine.name, machine.zone, "k", machine.cell, Status.SERVING, 1.0, machine.started)
+        status = Status.DRAINING if machine.name in self.leaving else Status.SERVING
+        return Backend(machine.name, machine.zone, "k", machine.cell, status, 1.0, machine.started)
 
     def kill(self, me: int, lasts: float) -> None:
         node = self.nodes[me]
@@ -286,46 +305,108 @@
     # what goes wrong
 
     def strike(self, fault: Fault) -> None:
-        size = self.scenario.fleet.gateways if fault.of == "gateways" else self.scenario.fleet.backends
-        drawn = [int(n) for n in self.chaos.permutation(size)[: ceil(fault.part * size)]]
+        if fault.kind in ("counter", "list", "cut", "lost"):
+            return self.spoil(fault)
+        if fault.of == "gateways":
+            for me in self.drawn(fault, [n.way.zone for n in self.nodes if isinstance(n.way, Way)]):
+                self.kill(me, fault.lasts)
+            return None
+        machines = list(self.machines.values())
+        hurt = [machines[n] for n in self.drawn(fault, [m.zone for m in machines])]
+        for n, machine in enumerate(hurt):
+            if fault.kind == "release":
+                self.clock.later(n / len(hurt) * fault.lasts, partial(self.replace, machine))
+            else:
+                self.hurt(machine, fault)
+        return None
+
+    def drawn(self, fault: Fault, zones: list[str]) -> list[int]:
+        """Whom it strikes: all in its zone, or a part of all."""
+        if fault.zone:
+            return [n for n, zone in enumerate(zones) if zone == fault.zone]
+        return [int(n) for n in self.chaos.permutation(len(zones))[: ceil(fault.part * len(zones))]]
+
+    def spoil(self, fault: Fault) -> None:
+        """What befalls all at once, and its end."""
+        weather = self.weather
         if fault.kind == "counter":
             self.counter.down = True
-            self.clock.later(fault.lasts, self.counter_back)
-        elif fault.of == "gateways":
-            for me in drawn:
-                self.kill(me, fault.lasts)
+        elif fault.kind == "list":
+            weather.late_until = self.clock.now + fault.lasts
+        elif fault.kind == "cut":
+            weather.cut.add(fault.zone)
         else:
-            for n in drawn:
-                self.hurt(self.machines[f"b{n}"], fault)
+            weather.lost = fault.part
+        self.clock.later(fault.lasts, partial(self.clear_up, fault))
 
-    def counter_back(self) -> None:
-        self.counter.down = False
+    def clear_up(self, fault: Fault) -> None:
+        if fault.kind == "counter":
+            self.counter.down = False
+        elif fault.kind == "cut":
+            self.weather.cut.discard(fault.zone)
+        elif fault.kind == "lost":
+            self.weather.lost = 0.0
 
     def hurt(self, machine: Machine, fault: Fault) -> None:
         if fault.kind == "slow":
             machine.slow_down(fault.factor)
-            self.clock.later(fault.lasts, lambda: machine.slow_down(1.0))
+            self.clock.later(fault.lasts, partial(machine.slow_down, 1.0))
         elif fault.kind == "hang":
             machine.fail(Condition.HANGING)
-            self.clock.later(fault.lasts, lambda: machine.recover(cold=False))
+            self.clock.later(fault.lasts, partial(machine.recover, cold=False))
+        elif fault.kind == "drain":
+            self.leave(machine)
+            self.clock.later(fault.lasts, partial(self.come_back, machine))
+        elif fault.kind == "reset":
+            self.break_links(machine)
         else:
-            machine.fail(Condition.DOWN)
-            for node in self.nodes:
-                for wire in node.wires():
-                    if wire.machine is machine:
-                        wire.reset()
-            self.clock.later(fault.lasts, lambda: self.bring_back(machine))
+            self.end_process(machine)
+            self.clock.later(fault.lasts, partial(self.bring_back, machine))
+
+    def replace(self, machine: Machine) -> None:
+        """One step of a release: drained, ended, and started again."""
+        self.leave(machine)
+        self.clock.later(DRAINED, partial(self.end_process, machine))
+        self.clock.later(DRAINED + RESTART, partial(self.bring_back, machine))
+
+    def leave(self, machine: Machine) -> None:
+        self.leaving.add(machine.name)
+        self.announce(machine)
+
+    def come_back(self, machine: Machine) -> None:
+        self.leaving.discard(machine.name)
+        self.announce(machine)
+
+    def end_process(self, machine: Machine) -> None:
+        machine.fail(Condition.DOWN)
+        self.break_links(machine)
+
+    def break_links(self, machine: Machine) -> None:
+        for node in self.nodes:
+            for wire in node.wires():
+                if wire.machine is machine:
+                    wire.reset()
 
     def bring_back(self, machine: Machine) -> None:
         """Cold, and told to each gateway in its own time."""
         machine.recover(cold=True)
+        self.come_back(machine)
+
+    def announce(self, machine: Machine) -> None:
         news = BackendList(ListKind.CHANGES, (self.entry(machine),))
         lags = self.chaos.random(len(self.nodes)) * 2.0 * self.scenario.discovery.lag
         for me, lag in enumerate(lags):
             self.clock.later(float(lag), partial(self.tell, me, news))
 
     def tell(self, me: int, news: BackendList) -> None:
-        self.nodes[me].hear(news)
+        node, now = self.nodes[me], self.clock.now
+        assert isinstance(node.way, Way)
+        held = now < self.weather.late_until or not node.way.passes(self.counter.zone)
+        if held:  # the list stands where the counter does
+            self.clock.later(AGAIN, partial(self.tell, me, news))
+        else:
+            entries = tuple(self.entry(self.machines[b.address]) for b in news.backends)  # as it is by now
+            node.hear(BackendList(news.kind, entries))
 
     def forget(self) -> None:
         self.counter.forget()
--- a/tests/test_full_table.py
+++ b/tests/test_full_table.py
@@ -28,6 +28,12 @@
     def delay(self, machine: Machine) -> float:
         return WAY
 
+    def passes(self, zone: str) -> bool:
+        return True
+
+    def loses(self) -> bool:
+        return False
+
 
 class Counting(Node):
     """A gateway, and what it had served at the full backend."""
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -13,7 +13,7 @@
 import msgspec
 import pytest
 
-from embersill.interface import Counted, Outcome
+from embersill.interface import Counted, Outcome, Status
 from embersill.lab.__main__ import SHIPPED
 from embersill.lab.clock import Clock
 from embersill.lab.counter import CounterService
@@ -23,6 +23,7 @@
     BackendForm, BadScenario, Class, Counter, PlanForm, build_scenario, read_scenario,
 )
 from embersill.lab.world import World
+from tests.helpers import backend
 from tests.test_program import ROOT
 
 
@@ -139,7 +140,9 @@
     ({"classes": []}, "classes"), ({"plans": []}, "plans"),
     ({"faults": [{"kind": "flood", "at": 1, "lasts": 1}]}, r"faults\[0\].kind"),
     ({"faults": [{"kind": "kill", "at": 99, "lasts": 1}]}, r"faults\[0\].at"),
-    ({"faults": [{"kind": "slow", "of": "gateways", "at": 1, "lasts": 1}]}, "can't slow"),
+    ({"faults": [{"kind": "slow", "of": "gateways", "at": 1, "lasts": 1}]}, "gateways can't have 'slow'"),
+    ({"faults": [{"kind": "cut", "at": 1, "lasts": 1}]}, "names a zone"),
+    ({"faults": [{"kind": "kill", "zone": "x", "at": 1, "lasts": 1}]}, "no zone 'x'"),
 ])
 def test_a_scenario_out_of_form_is_told_with_its_place(change: dict[str, Any], why: str) -> None:
     with pytest.raises(BadScenario, match=why):
@@ -227,6 +230,10 @@
     ("by_key", "cell", ["send 0", RAN, "send 1"], "no repeat"),
     ("by_key", "zone", ["send 0", RAN, "send 1", Outcome.SERVED, "answer"], ""),
     ("by_key", "cell", ["send 0", RAN, "refuse"], "no repeat"),
+    ("repeatable", "all", ["drained", "wait 1", "send 1"], ""),
+    ("repeatable", "all", ["drained", "wait 1", "drained", "wait 0.2", "send 1"], "drain"),
+    ("repeatable", "all", ["drained", "wait 2", "send 0"], ""),
+    ("repeatable", "all", ["drained", "wait 2", "back", "send 1"], ""),
 ])
 def test_each_rule_of_a_request_is_tripped_by_a_planted_fault(
     semantics: str, scope: str, steps: list[Any], rule: str
@@ -238,6 +245,10 @@
     for step in steps:
         if isinstance(step, Outcome):
             rules.ended("n0", 1, place - 1, step)
+        elif step == "drained":
+            rules.told("n0", [backend("b1", status=Status.DRAINING)], now)
+        elif step == "back":
+            rules.told("n0", [backend("b1")], now)
         elif step in ("answer", "refuse"):
             rules.answered("n0", 1, Outcome.SERVED if step == "answer" else Outcome.TURNED_AWAY, now)
         elif step == "die":
