--- a/tests/bed.py
+++ b/tests/bed.py
@@ -5,10 +5,11 @@
 import asyncio
 import itertools
 import os
+import resource
 import socket
 import struct
-from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+from contextlib import asynccontextmanager, contextmanager
 from typing import Any
 
 import uvloop
@@ -99,6 +100,22 @@
             return await self.reader.read(1) == b""
 
 
+@contextmanager
+def no_descriptors() -> Iterator[None]:
+    """None is to be had in this process meanwhile."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    highest, held = max(int(name) for name in os.listdir("/proc/self/fd")), [os.dup(0)]
+    while held[-1] < highest:  # all below are taken then
+        held.append(os.dup(0))
+    resource.setrlimit(resource.RLIMIT_NOFILE, (held[-1] + 1, hard))
+    try:
+        yield
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+        for descriptor in held:
+            os.close(descriptor)
+
+
 def links(pool: Pool) -> list[BackendConnection]:
     return [link for link in pool.links if isinstance(link, BackendConnection)]
 
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -5,9 +5,8 @@
 import asyncio
 import os
 import random
-import resource
 import socket
-from collections.abc import AsyncIterator, Callable, Iterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
 import pytest
@@ -16,7 +15,7 @@
 from embersill.net.backends import Answer, Attempt, Dialer
 from embersill.net.bodies import WHOLE, Sink
 from embersill.net.pool import Address, Pool
-from tests.bed import free_port, links, run
+from tests.bed import free_port, links, no_descriptors, run
 from tests.peers import HOST, SOON, Asked, BackendPeer, Step, message
 
 HEAD = b"POST /api HTTP/1.1\r\nX-Call-Id: 1\r\nContent-Length: 2\r\n"
@@ -442,37 +441,14 @@
 def test_out_of_descriptors_says_nothing_of_the_backend() -> None:
     async def test() -> None:
         async with sending() as (sender, peer):
-            soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-            resource.setrlimit(resource.RLIMIT_NOFILE, (highest_descriptor() + 1, hard))
-            try:
+            with no_descriptors():
                 assert await sender.outcome() is Outcome.NOT_SENT
-            finally:
-                resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
             assert sender.pool.figures["pool open no descriptor"] == 1 and not sender.pool.links
             assert await sender.outcome() is Outcome.SERVED
 
     run(test)
 
 
-def highest_descriptor() -> int:
-    """All below it are taken from here on."""
-    highest = max(int(name) for name in os.listdir("/proc/self/fd"))
-    while (taken := os.dup(0)) < highest:
-        HELD.append(taken)
-    HELD.append(taken)
-    return taken
-
-
-HELD: list[int] = []
-
-
-@pytest.fixture(autouse=True)
-def descriptors() -> Iterator[None]:
-    yield
-    while HELD:
-        os.close(HELD.pop())
-
-
 def test_nothing_is_left_of_ten_thousand_opens_cancels_and_faults() -> None:
     async def test() -> None:
         dice = random.Random(7)
--- a/tests/test_counter.py
+++ b/tests/test_counter.py
@@ -10,7 +10,7 @@
 
 from embersill.interface import Counted, Outcome
 from embersill.net.counter import IDLE_LIMIT, SILENT_AFTER, Counter
-from tests.bed import run
+from tests.bed import no_descriptors, run
 from tests.peers import HOST, CounterPeer
 
 
@@ -163,6 +163,18 @@
     run(test)
 
 
+def test_a_call_without_a_descriptor_added_nothing_and_the_next_has_one() -> None:
+    async def test() -> None:
+        async with calling() as (counter, told, peer):
+            with no_descriptors():
+                counter.add("c1.7", 1.0, 4.0)
+                assert (await told.next())[1] is Outcome.NO_CONNECTION
+            counter.add("c1.7", 2.0, 4.0)
+            assert await told.next() == ("c1.7", Outcome.SERVED, 2.0)
+
+    run(test)
+
+
 def test_a_call_given_up_while_its_line_came_up_is_never_written() -> None:
     async def test() -> None:
         async with calling() as (counter, told, peer):
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -10,7 +10,7 @@
 from embersill.net.discovery import (
     BadList, Discovery, Listing, NoRoom, read_address, read_addresses, read_listing,
 )
-from tests.bed import request, run, running
+from tests.bed import no_descriptors, request, run, running
 from tests.peers import SOON, DiscoveryPeer, message
 
 
@@ -43,6 +43,22 @@
     run(test)
 
 
+def test_without_a_descriptor_the_list_comes_once_there_is_one() -> None:
+    async def test() -> None:
+        peer = DiscoveryPeer()
+        await peer.start()
+        peer.entries = {"a": peer.entry("a", "127.0.0.1:9")}
+        with no_descriptors():
+            task, told = await follow(peer)
+            await asyncio.sleep(0.05)
+            assert told.empty() and not peer.asked
+        assert (await told.get()).whole
+        task.cancel()
+        await peer.stop()
+
+    run(test)
+
+
 @pytest.mark.parametrize("way", ["refused", "rubbish"])
 def test_after_a_failed_watch_the_whole_list_is_asked_for(way: str) -> None:
     # a watch from the old version would wait for a next change, or be refused again and again
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -168,6 +168,7 @@
         fault.update(at=4.0, lasts=4.0)
     first = played(told)
     assert json.dumps(first) == json.dumps(played(told))
+    assert not first["breaches"], first["first_breaches"]
     assert first["requests"] > 300 and sum(first["ends"].values()) == first["requests"]
     assert 0.3 < first["served"] < 1.1  # a request that was refused may be served by its quota of later
     other = played(told, 2)
