Refill the laboratory's quotas and ceilings by one piece of code

The rule on ceilings wrote the store's refill a second time, and a node counted what nobody read. Behaviour is the same: tests/test_lab.py and tests/test_full_table.py pass unchanged.

--- a/embersill/lab/customers.py
+++ b/embersill/lab/customers.py
@@ -21,10 +21,13 @@
     level: float
     stamp: float = 0.0
 
-    def take(self, now: float) -> bool:
-        """True where it holds one more unit, which is taken then."""
+    def refill(self, now: float) -> None:
         self.level = min(self.burst, self.level + self.rate * (now - self.stamp))
         self.stamp = now
+
+    def take(self, now: float) -> bool:
+        """True where it holds one more unit, which is taken then."""
+        self.refill(now)
         if self.level < 1.0:
             return False
         self.level -= 1.0
--- a/embersill/lab/node.py
+++ b/embersill/lab/node.py
@@ -125,7 +125,6 @@
         known = self.node.gateway.servers.get(self.backend)
         told = known is not None and known.backend.started == self.machine.started
         self.job = job = Job(work, self.answer, told)
-        self.node.written += 1
         if self.node.way.passes(self.machine.zone):
             self.node.clock.later(self.node.way.delay(self.machine), lambda: self.machine.take(job))
 
@@ -191,7 +190,7 @@
         self.pool = Pool(lambda: clock.now, self.open, most, keepalive, settings.pool, seed)
         self.pool.open_failed = lambda backend, up: self.post(OpenFailed(backend, up))
         self.calls: dict[int, Call] = {}
-        self.taken = self.written = self.wired = 0
+        self.taken = self.wired = 0
         self.events: list[Event] = []
         self.handling = False
         self.ends: Tally[str] = Tally()
--- a/embersill/lab/rules.py
+++ b/embersill/lab/rules.py
@@ -107,8 +107,8 @@
         """The second store of a customer, shared by all gateways, which may fall a little below nought."""
         rate, burst = plan.ceiling * plan.rate, plan.ceiling * plan.burst
         store = self.ceilings.setdefault(asked.customer, Store(rate, burst, burst, now))
-        store.level = min(burst, store.level + rate * (now - store.stamp)) - 1.0
-        store.stamp = now
+        store.refill(now)
+        store.level -= 1.0
         if store.level < -max(LEAST_SLACK, SLACK_PART * burst):
             self.breach("ceiling", now, f"{asked.name} of customer {asked.customer}: at {store.level:.1f}")
 
