--- a/embersill/net/pool.py
+++ b/embersill/net/pool.py
@@ -57,7 +57,7 @@
 
     def __init__(self, backend: str) -> None:
         self.backend, self.state = backend, State.OPENING
-        self.began = self.idle_since = 0.0  # when it was begun to be opened
+        self.idle_since = 0.0
         self.idled = 0.0  # seconds it had stood idle when it was last taken
         self.reused = False
         self.retire_at = float("inf")
@@ -197,11 +197,7 @@
             return self.use(place, link, attempt)
         place.waiting.append(attempt)
         self.open_for(attempt.backend, place)
-        if not (place.opening or place.used) and attempt.backend not in self.short:
-            place.waiting.remove(attempt)
-            self.figures["pool no room"] += 1
-            return attempt.lost(Outcome.NOT_SENT)
-        return None
+        return self.leave_alone(place)
 
     def withdraw(self, attempt: Waiter) -> None:
         """An attempt waits no more. What is being opened goes on: it serves the next, or is kept."""
@@ -242,7 +238,7 @@
 
     def open_for(self, backend: str, place: Place) -> None:
         """As many opens as there are attempts in line, as far as the bounds allow."""
-        while len(place.opening) < len(place.waiting) and place.address is not None and self.may_open(place):
+        while len(place.opening) < len(place.waiting) and self.may_open(place):
             self.open(backend, place)
         if len(place.opening) < len(place.waiting) and self.is_busy(place):
             self.short[backend] = None
@@ -260,17 +256,16 @@
 
     def evict(self) -> bool:
         """The connection that has been idle for longest makes way; False where there is none."""
-        heads = [(p.idle[0].idle_since, n) for n, p in enumerate(self.places.values()) if p.idle]
-        if not heads:
+        held = [p for p in self.places.values() if p.idle]
+        if not held:
             return False
-        place = list(self.places.values())[min(heads)[1]]
+        place = min(held, key=lambda p: p.idle[0].idle_since)
         self.close(place, place.idle[0], "made way")
         return True
 
     def open(self, backend: str, place: Place) -> None:
         assert place.address is not None
         link = self.opener(backend, place.address)
-        link.began = self.clock()
         place.opening.append(link)
         self.opening += 1
         self.links.add(link)
