--- a/embersill/lab/clock.py
+++ b/embersill/lab/clock.py
@@ -1,10 +1,13 @@
-"""Virtual time: one queue of events, in the order of their times, then of their setting."""
+"""Time: virtual, as one queue of events, in the order of their times, then of their setting."""
 
 from __future__ import annotations
 
 import heapq
 from collections.abc import Callable
 from itertools import count
+from typing import Protocol
+
+BEGIN = 1_000_000.0  # a run's time at its start: some hour of a Unix day
 
 
 class Event:
@@ -19,6 +22,20 @@
         """Makes it happen never; also after it has happened, where that changes nothing."""
         self.what = None
 
+    def happen(self) -> None:
+        what, self.what = self.what, None
+        if what is not None:
+            what()
+
+
+class Time(Protocol):
+    """What the parts of a deployment need of a clock, virtual or real."""
+
+    @property
+    def now(self) -> float: ...
+
+    def later(self, delay: float, what: Callable[[], None]) -> Event: ...
+
 
 class Clock:
     """Seconds since `start`, which stand still while an event happens."""
@@ -41,7 +58,5 @@
         queue, pop = self.queue, heapq.heappop
         while queue and queue[0][0] <= until:
             self.now, _, event = pop(queue)
-            what, event.what = event.what, None
-            if what is not None:
-                what()
+            event.happen()
         self.now = max(self.now, until)
--- a/embersill/lab/counter.py
+++ b/embersill/lab/counter.py
@@ -7,14 +7,14 @@
 from collections.abc import Callable
 
 from embersill.interface import Counted, Outcome
-from embersill.lab.clock import Clock
+from embersill.lab.clock import Time
 from embersill.lab.scenario import Counter as CounterForm
 
 LONGEST_LIFE = 60.0  # seconds that a name is kept at the most: the protocol's
 
 
 class CounterService:
-    def __init__(self, clock: Clock, form: CounterForm, zone: str = "") -> None:
+    def __init__(self, clock: Time, form: CounterForm, zone: str = "") -> None:
         self.clock, self.form, self.zone = clock, form, zone
         self.free_at = [0.0] * form.parts
         self.totals: dict[str, tuple[float, float]] = {}  # a name's total, and when it is forgotten
--- a/embersill/lab/machine.py
+++ b/embersill/lab/machine.py
@@ -8,7 +8,7 @@
 from enum import Enum
 from itertools import count
 
-from embersill.lab.clock import Clock, Event
+from embersill.lab.clock import Event, Time
 from embersill.lab.scenario import BackendForm
 
 WARMING_EVERY = 0.25  # seconds between looks at what a cold one can do: 1 to 3% of its full
@@ -35,7 +35,7 @@
 class Machine:
     """Processor sharing: up to `slots` requests share the cores evenly, none gets more than one core."""
 
-    def __init__(self, clock: Clock, form: BackendForm, name: str, zone: str, cell: int, speed: float,
+    def __init__(self, clock: Time, form: BackendForm, name: str, zone: str, cell: int, speed: float,
                  mean_work: float) -> None:
         """`mean_work`: seconds of one core that a request takes, by which its capacity is told."""
         self.clock, self.form, self.name, self.zone, self.cell = clock, form, name, zone, cell
--- a/embersill/lab/node.py
+++ b/embersill/lab/node.py
@@ -5,37 +5,24 @@
 from collections import Counter as Tally
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Protocol
 
 from embersill.control import Gateway
 from embersill.interface import (
     Action, AttemptEnded, BackendList, Cancel, Count, Counted, Event, Fail, HangUp, OpenFailed, Outcome,
     Refuse, Request, Send, SetTimer, Settings, Size, TimerDue, Warm,
 )
-from embersill.lab.clock import Clock
 from embersill.lab.clock import Event as Due
+from embersill.lab.clock import Time
 from embersill.lab.counter import CounterService
 from embersill.lab.machine import Condition, Job, Machine
+from embersill.lab.network import Way
 from embersill.lab.rules import Rules
 from embersill.lab.scenario import Class, PlanForm
 from embersill.net.pool import Address, Failure, Link, Pool, State, Waiter
 
 SWEEP_EVERY = 1.0  # seconds between the pool's looks for idle connections, as in net/backends.py
 NOWHERE: Address = ("", 0)  # the model knows a backend by its name
-
-
-class Way(Protocol):
-    """What the network does between this gateway and the others."""
-
-    def delay(self, machine: Machine) -> float: ...
-
-    def passes(self, zone: str) -> bool:
-        """False while nothing passes between there and here."""
-        ...
-
-    def loses(self) -> bool:
-        """True for an answer that gets lost."""
-        ...
+Figures = tuple[Tally[str], Tally[str], Tally[str]]  # attempts by outcome, refusals by reason, connections
 
 
 @dataclass(slots=True)
@@ -179,7 +166,7 @@
 class Node:
     """One process of a gateway, from its start to its end."""
 
-    def __init__(self, name: str, clock: Clock, settings: Settings, seed: int, way: Way,
+    def __init__(self, name: str, clock: Time, settings: Settings, seed: int, way: Way,
                  machines: dict[str, Machine], counter: CounterService, rules: Rules, most: int,
                  dial_timeout: float, keepalive: float) -> None:
         """`name`: of this process, and of no other in the run."""
@@ -314,25 +301,28 @@
                 if not attempt.ended and attempt.link is None:
                     attempt.end(Outcome.NOT_SENT)  # it must not be written for a request that is over
 
+    def break_links(self, machine: Machine) -> None:
+        """All its connections to that machine are reset."""
+        for wire in self.wires():
+            if wire.machine is machine:
+                wire.reset()
+
+    def figures(self) -> Figures:
+        return self.ends, self.gateway.given_up, self.pool.figures
+
     # its end
 
     def die(self) -> list[Call]:
         """At once, as by SIGKILL: connections end, and what was taken has no answer. Those calls."""
         self.alive = False
         self.rules.died(self.name)
+        calls, self.calls = list(self.calls.values()), {}
+        for attempt in [attempt for call in calls for attempt in call.tries]:
+            attempt.timer.cancel()
+            self.pool.withdraw(attempt)  # else the end of a connection opens another for it
         for link in self.wires():
-            if link.attempt is not None:
-                link.attempt.timer.cancel()
-                if link.job is not None:
-                    self.machine_gives_up(link)
+            if link.job is not None:
+                link.machine.give_up(link.job)
+            link.attempt = None
             link.shut()
-        calls, self.calls = list(self.calls.values()), {}
-        for call in calls:
-            for attempt in call.tries:
-                attempt.timer.cancel()
         return calls
-
-    def machine_gives_up(self, link: Wire) -> None:
-        assert link.job is not None
-        link.machine.give_up(link.job)
-        link.attempt = None
--- a/embersill/lab/scenario.py
+++ b/embersill/lab/scenario.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 import pathlib
 import tomllib
 from typing import Annotated, Any, Literal
@@ -9,10 +10,14 @@
 import msgspec
 from msgspec import Meta, field
 
+from embersill.interface import PoolSettings
+from embersill.settings import read_pool
+
 Positive = Annotated[float, Meta(gt=0.0)]
 Some = Annotated[float, Meta(ge=0.0)]
 Part = Annotated[float, Meta(ge=0.0, le=1.0)]
 Number = Annotated[int, Meta(ge=1, le=5000)]
+MOST_PEERS, LONGEST = 64, 600.0  # gateways or backends, and seconds, that are played with real processes
 
 
 class BadScenario(Exception):
@@ -140,17 +145,52 @@
     counter: Counter = field(default_factory=Counter)
     discovery: Discovery = field(default_factory=Discovery)
     faults: list[Fault] = []
+    pool: dict[str, Any] = {}  # as in a gateway's configuration
 
 
-def read_scenario(path: pathlib.Path) -> Scenario:
-    """BadScenario names the file, and the key that is wrong."""
+def load(path: pathlib.Path) -> dict[str, Any]:
+    """What the file says. BadScenario where it is no scenario: it names file and key."""
     try:
         with path.open("rb") as file:
-            return build_scenario(tomllib.load(file))
+            told = tomllib.load(file)
+        build_scenario(told)
     except OSError as error:
         raise BadScenario(f"{path}: {error.strerror}") from error
     except (tomllib.TOMLDecodeError, UnicodeDecodeError, BadScenario) as error:
         raise BadScenario(f"{path}: {error}") from error
+    return told
+
+
+def change(told: dict[str, Any], setting: str) -> dict[str, Any]:
+    """A scenario with `KEY=VALUE` set, where the key leads through tables by dots: `classes.view.work=0.3`.
+
+    What stands in a list goes by its name, or by its number from 0. The value is TOML's, or else a word.
+    BadScenario where the way leads nowhere; what is wrong with the value is told when it is built.
+    """
+    path, equals, text = setting.partition("=")
+    *way, last = path.strip().split(".")
+    if not equals or not last:
+        raise BadScenario(f"{setting!r} is no KEY=VALUE")
+    try:
+        value = tomllib.loads(f"x = {text}")["x"]
+    except tomllib.TOMLDecodeError:
+        value = text.strip()
+    changed = copy.deepcopy(told)
+    at: Any = changed
+    for step in way:
+        at = at.setdefault(step, {}) if isinstance(at, dict) else member(at, step, path)
+    if not isinstance(at, dict):
+        raise BadScenario(f"there is no table at {path!r}")
+    at[last] = value
+    return changed
+
+
+def member(listed: Any, step: str, path: str) -> Any:
+    if isinstance(listed, list):
+        for n, entry in enumerate(listed):
+            if step == str(n) or isinstance(entry, dict) and entry.get("name") == step:
+                return entry
+    raise BadScenario(f"there is no {step!r} on the way to {path!r}")
 
 
 def build_scenario(told: dict[str, Any]) -> Scenario:
@@ -162,8 +202,17 @@
     return scenario
 
 
+def pool_settings(scenario: Scenario) -> PoolSettings:
+    """BadScenario, as a gateway's start would say it."""
+    try:
+        return read_pool(scenario.pool)
+    except ValueError as error:
+        raise BadScenario(f"{error} - at `$.pool`") from error
+
+
 def check(scenario: Scenario) -> None:
     """What single values can't tell."""
+    pool_settings(scenario)
     shares = {
         "classes": [(c.name, c.share) for c in scenario.classes],
         "plans": [(p.name, p.share) for p in scenario.plans],
@@ -183,3 +232,15 @@
             raise BadScenario(f"there is no zone {fault.zone!r} - at `$.faults[{n}].zone`")
         if fault.kind == "cut" and not fault.zone:
             raise BadScenario(f"a cut names a zone - at `$.faults[{n}].zone`")
+
+
+def check_real(scenario: Scenario) -> None:
+    """BadScenario for what can't be played with real processes."""
+    fleet = scenario.fleet
+    if max(fleet.gateways, fleet.backends) > MOST_PEERS:
+        raise BadScenario(f"real gateways and backends are at most {MOST_PEERS} each - at `$.fleet`")
+    if scenario.seconds > LONGEST:
+        raise BadScenario(f"real time is at most {LONGEST:g} s - at `$.seconds`")
+    for n, fault in enumerate(scenario.faults):
+        if fault.kind == "cut":
+            raise BadScenario(f"no zone can be cut off on loopback - at `$.faults[{n}].kind`")
--- a/embersill/lab/world.py
+++ b/embersill/lab/world.py
@@ -4,27 +4,27 @@
 
 import random
 from collections import Counter as Tally
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 from math import ceil
-from typing import Any
+from typing import Any, Protocol
 
 import numpy as np
 from hdrh.histogram import HdrHistogram
 
 from embersill.interface import (
-    Backend, BackendList, ListKind, Outcome, Plan, PoolSettings, Request, RequestClass, Settings, Status,
+    Backend, BackendList, ListKind, Outcome, Request, Settings, Status,
 )
-from embersill.lab.clock import Clock
+from embersill.lab.clock import BEGIN, Clock, Time
 from embersill.lab.counter import CounterService
 from embersill.lab.customers import Arrival, Customer, arrivals, gateway_weights, make_customers, mean_work
 from embersill.lab.machine import Condition, Machine
-from embersill.lab.node import Call, Node
+from embersill.lab.node import Call, Figures, Node
+from embersill.lab.network import Way, Weather
 from embersill.lab.rules import Rules
-from embersill.lab.scenario import Class, Fault, Scenario
-from embersill.settings import REPEATS, SCOPES
+from embersill.lab.scenario import Class, Fault, Scenario, pool_settings
+from embersill.settings import read_settings
 
-BEGIN = 1_000_000.0  # the clock's time at the start: some hour of a Unix day
 EARLY, SCANT = 0.1, 0.25  # as in net/driver.py: how long before its client a gateway takes it to be over
 WINDOW = 5.0  # seconds that a row of the service over time covers
 NOTICED = (1.1, 3.7)  # seconds until the front notices a dead gateway
@@ -33,6 +33,7 @@
 AGAIN = 0.5  # seconds until news that can't be told now are tried again
 MOST_LINKS = 400  # connections to backends that a gateway may have: its part of 1,024 descriptors
 FORGET_EVERY = 60.0  # seconds between clearings of what is over
+PERCENTILES = (10, 25, 50, 75, 90, 95, 99, 99.9)
 MOST_BREACHES = 20  # that a report tells one by one
 REST = 1.0  # seconds after the last deadline until the end
 
@@ -70,59 +71,63 @@
     latency: HdrHistogram = field(default_factory=lambda: HdrHistogram(1, 120_000, 3))  # milliseconds
 
 
-def settings_for(scenario: Scenario, me: int, zone: str, pool: PoolSettings) -> Settings:
-    """What a gateway is told: the same object that a real one reads from its configuration."""
-    classes = tuple(
-        RequestClass(c.name, REPEATS[c.semantics], SCOPES[c.scope], c.memory, c.aim, c.deadline, c.late_share,
-                     c.worth, False)
-        for c in scenario.classes)
-    plans = tuple(
-        Plan(p.name, p.rate, p.burst, 0, p.ceiling * p.rate, p.ceiling * p.burst, p.price, 0.0, p.over_cost)
-        for p in scenario.plans)
-    form = scenario.backend
-    return Settings(
-        me=me, gateways=scenario.fleet.gateways, classes=classes, plans=plans, zone=zone, list_pushed=True,
-        ask_every=10.0, counter=True, counter_patience=scenario.counter.patience, counter_price=0.01,
-        may_cancel=True, may_probe=False, second_copies=False, max_attempts=4, max_retry_after=0.5,
-        cold_from=form.cold_from, warm_within=form.warm_within, fall_multiple=form.fall_multiple,
-        overload_for=form.overload_for, report_fields=(), most_units=1.0, settles=False, pool=pool)
+def told_settings(scenario: Scenario, me: int, zone: str) -> dict[str, Any]:
+    """What a gateway is told, in the platform's form and its milliseconds."""
+    form, patience = scenario.backend, 1000.0 * scenario.counter.patience
+    return {
+        "me": me, "balancers": scenario.fleet.gateways, "zone": zone, "membership_mode": "pushed",
+        "services": [
+            {"name": c.name, "semantics": c.semantics, "dedup_scope": c.scope,
+             "memory_span": 1000.0 * c.memory, "aim": 1000.0 * c.aim, "deadline": 1000.0 * c.deadline,
+             "late_share": c.late_share,
+             "credit": c.worth, "stream": False} for c in scenario.classes],
+        "packages": [
+            {"name": p.name, "units_per_s": p.rate, "peak_units": p.burst, "concurrency": 0,
+             "hard_rate": p.ceiling * p.rate, "cap_depth": p.ceiling * p.burst, "value_factor": p.price,
+             "extra_worth": 0.0, "overrun_cost": p.over_cost} for p in scenario.plans],
+        "domain": {"counter": True, "count_limit": patience, "count_fee": 0.01, "max_units": 1.0,
+                   "post_paid": False},
+        "limits": {"cancel": True, "may_probe": False, "second_copies": False, "max_attempts": 4,
+                   "max_retry_after": 500.0, "dial_timeout": 1000.0 * scenario.net.dial_timeout,
+                   "keepalive": 1000.0 * scenario.net.keepalive},
+        "rules": {"ask_every": 10_000.0, "cold_from": form.cold_from,
+                  "warm_within": 1000.0 * form.warm_within, "fall_multiple": form.fall_multiple,
+                  "overload_for": 1000.0 * form.overload_for},
+        "report": {"fields": []},
+    }
 
 
-@dataclass(slots=True)
-class Weather:
-    """What the network does to all."""
+def settings_for(scenario: Scenario, me: int, zone: str) -> Settings:
+    return replace(read_settings(told_settings(scenario, me, zone)), pool=pool_settings(scenario))
+
 
-    cut: set[str] = field(default_factory=set)  # zones
-    lost: float = 0.0  # part of the answers
-    late_until: float = 0.0  # until when news of the list wait
+class Gatewaylike(Protocol):
+    """A process of a gateway, the model's or a real one."""
 
+    name: str
+    alive: bool
+    way: Way
 
-class Way:
-    """The network from one gateway."""
+    def number(self) -> int: ...
 
-    def __init__(self, scenario: Scenario, zone: str, dice: random.Random, weather: Weather) -> None:
-        self.net, self.zone, self.dice, self.weather = scenario.net, zone, dice, weather
+    def take(self, request: Request, call: Call) -> None: ...
 
-    def delay(self, machine: Machine) -> float:
-        base = self.net.same if machine.zone == self.zone else self.net.cross
-        return base * (1.0 + self.net.jitter * self.dice.random())
+    def hear(self, event: BackendList) -> None: ...
 
-    def passes(self, zone: str) -> bool:
-        return zone == self.zone or not self.weather.cut & {zone, self.zone}
+    def break_links(self, machine: Machine) -> None: ...
 
-    def loses(self) -> bool:
-        return self.weather.lost > 0.0 and self.dice.random() < self.weather.lost
+    def die(self) -> list[Call]: ...
 
-    def client(self) -> float:
-        return self.net.client * (1.0 + self.net.jitter * self.dice.random())
+    def figures(self) -> Figures: ...
 
 
 class World:
-    """All parts, made from a scenario and a seed: the same two give the same run, to the last byte."""
+    """All parts, made from a scenario and a seed: in virtual time both give the same to the last byte."""
 
-    def __init__(self, scenario: Scenario, seed: int, pool: PoolSettings | None = None) -> None:
-        self.scenario, self.seed, self.pool = scenario, seed, pool or PoolSettings()
-        self.clock = Clock(BEGIN)
+    def __init__(self, scenario: Scenario, seed: int, clock: Time | None = None) -> None:
+        self.scenario, self.seed = scenario, seed
+        self.clock: Time = clock or Clock(BEGIN)
+        self.origin = self.clock.now  # when the run begins
         # a generator for each part: more draws by one shift no other's
         self.load, self.habit, self.chaos, self.parts = map(
             np.random.default_rng, np.random.SeedSequence(seed).spawn(4))
@@ -133,13 +138,15 @@
         self.seeds = [int(n) for n in self.parts.integers(0, 2**62, scenario.fleet.gateways)]
         self.starts = Tally[int]()
         self.nodes = [self.start(n) for n in range(scenario.fleet.gateways)]
-        self.heard_dead = [BEGIN] * len(self.nodes)  # from when the front knows that one is dead
+        self.heard_dead = [0.0] * len(self.nodes)  # from when the front knows that one is dead
         capacity = sum(m.capacity() for m in self.machines.values())
         self.customers = make_customers(scenario, capacity, self.load)
         self.weights = {w: gateway_weights(w, scenario.load.skew) for w in {c.width for c in self.customers}}
         self.arrivals = arrivals(scenario, self.customers, self.load)
         self.result = Result()
-        self.old: list[Node] = []
+        self.old: list[Gatewaylike] = []
+        self.over_time: list[list[float]] = []
+        self.sampled = (0, 0)
 
     def make_machines(self) -> dict[str, Machine]:
         fleet, form = self.scenario.fleet, self.scenario.backend
@@ -155,18 +162,21 @@
 
     # gateways
 
-    def start(self, me: int) -> Node:
+    def start(self, me: int) -> Gatewaylike:
         scenario = self.scenario
         zone = scenario.fleet.zones[me % len(scenario.fleet.zones)]
         seed, name = self.seeds[me] + self.starts[me], f"n{me}.{self.starts[me]}"
         self.starts[me] += 1
-        way = Way(scenario, zone, random.Random(seed), self.weather)
-        settings = settings_for(scenario, me, zone, self.pool)
-        node = Node(name, self.clock, settings, seed, way, self.machines, self.counter, self.rules,
-                    MOST_LINKS, scenario.net.dial_timeout, scenario.net.keepalive)
+        way = Way(scenario.net, zone, random.Random(seed), self.weather)
+        node = self.make_node(me, name, seed, way)
         node.hear(BackendList(ListKind.WHOLE, tuple(self.entry(m) for m in self.machines.values())))
         return node
 
+    def make_node(self, me: int, name: str, seed: int, way: Way) -> Gatewaylike:
+        scenario = self.scenario
+        return Node(name, self.clock, settings_for(scenario, me, way.zone), seed, way, self.machines,
+                    self.counter, self.rules, MOST_LINKS, scenario.net.dial_timeout, scenario.net.keepalive)
+
     def entry(self, machine: Machine) -> Backend:
         status = Status.DRAINING if machine.name in self.leaving else Status.SERVING
         return Backend(machine.name, machine.zone, "k", machine.cell, status, 1.0, machine.started)
@@ -188,27 +198,47 @@
     # clients
 
     def play(self) -> Result:
-        """The whole run."""
+        """The whole run, in virtual time."""
+        assert isinstance(self.clock, Clock)
+        self.begin()
+        self.clock.run(self.over_at())
+        return self.close()
+
+    def begin(self) -> None:
+        self.origin = self.clock.now
         for fault in self.scenario.faults:
             self.clock.later(fault.at, partial(self.strike, fault))
         self.clock.later(FORGET_EVERY, self.forget)
+        self.clock.later(WINDOW, self.sample)
         self.next_arrival()
-        longest = max(c.deadline for c in self.scenario.classes)
-        self.clock.run(BEGIN + self.scenario.seconds + longest + REST)
+
+    def over_at(self) -> float:
+        return self.origin + self.scenario.seconds + max(c.deadline for c in self.scenario.classes) + REST
+
+    def close(self) -> Result:
         self.rules.end(self.clock.now)
         return self.result
 
+    def sample(self) -> None:
+        """What came since the last look: handshakes, and calls to the counter."""
+        handshakes = sum(m.handshakes for m in self.machines.values())
+        calls = sum(self.counter.ends.values())
+        shaken, called = self.sampled
+        self.over_time.append([len(self.over_time) * WINDOW, handshakes - shaken, calls - called])
+        self.sampled = handshakes, calls
+        self.clock.later(WINDOW, self.sample)
+
     def next_arrival(self) -> None:
         arrival = next(self.arrivals, None)
         if arrival is not None:
-            at = BEGIN + arrival.at
+            at = self.origin + arrival.at
             self.clock.later(max(at - self.clock.now, 0.0), lambda: self.arrive(arrival))
 
     def arrive(self, arrival: Arrival) -> None:
         customer = self.customers[arrival.customer]
         klass, now = self.scenario.classes[arrival.klass], self.clock.now
         asked = Try(customer, klass, arrival.work, now)
-        if customer.asked.take(now - BEGIN):
+        if customer.asked.take(now - self.origin):
             self.result.asked += asked.worth()
             self.row(now)[0] += asked.worth()
         self.send(asked)
@@ -216,7 +246,7 @@
         self.next_arrival()
 
     def row(self, when: float) -> list[float]:
-        return self.result.rows.setdefault(int((when - BEGIN) // WINDOW), [0.0, 0.0])
+        return self.result.rows.setdefault(int((when - self.origin) // WINDOW), [0.0, 0.0])
 
     def give_up(self, asked: Try) -> None:
         if not asked.done:
@@ -242,11 +272,10 @@
         asked.tries += 1
         self.result.tries += 1
         node, now = self.nodes[self.gateway_for(asked.customer)], self.clock.now
-        assert isinstance(node.way, Way)
         budget = asked.left(now)
         self.clock.later(node.way.client(), lambda: self.reach(asked, node, now + budget))
 
-    def reach(self, asked: Try, node: Node, deadline: float) -> None:
+    def reach(self, asked: Try, node: Gatewaylike, deadline: float) -> None:
         if not node.alive:
             return self.hear(asked, Outcome.NO_CONNECTION, 0.0)
         now, customer = self.clock.now, asked.customer
@@ -254,7 +283,6 @@
         end = now + budget - min(EARLY, SCANT * budget)
         number = node.number()
         way, sent_on = node.way, partial(self.sent_on, asked)
-        assert isinstance(way, Way)
 
         def answered(outcome: Outcome, retry_after: float) -> None:
             self.clock.later(way.client(), lambda: self.hear(asked, outcome, retry_after))
@@ -266,7 +294,7 @@
         return None
 
     def sent_on(self, asked: Try) -> None:
-        asked.covered = asked.customer.used.take(self.clock.now - BEGIN)
+        asked.covered = asked.customer.used.take(self.clock.now - self.origin)
         self.result.sent_on[asked.covered] += 1
         if not asked.covered:
             self.result.overrun += asked.customer.plan.over_cost * asked.worth()
@@ -308,7 +336,7 @@
         if fault.kind in ("counter", "list", "cut", "lost"):
             return self.spoil(fault)
         if fault.of == "gateways":
-            for me in self.drawn(fault, [n.way.zone for n in self.nodes if isinstance(n.way, Way)]):
+            for me in self.drawn(fault, [n.way.zone for n in self.nodes]):
                 self.kill(me, fault.lasts)
             return None
         machines = list(self.machines.values())
@@ -383,9 +411,7 @@
 
     def break_links(self, machine: Machine) -> None:
         for node in self.nodes:
-            for wire in node.wires():
-                if wire.machine is machine:
-                    wire.reset()
+            node.break_links(machine)
 
     def bring_back(self, machine: Machine) -> None:
         """Cold, and told to each gateway in its own time."""
@@ -400,7 +426,6 @@
 
     def tell(self, me: int, news: BackendList) -> None:
         node, now = self.nodes[me], self.clock.now
-        assert isinstance(node.way, Way)
         held = now < self.weather.late_until or not node.way.passes(self.counter.zone)
         if held:  # the list stands where the counter does
             self.clock.later(AGAIN, partial(self.tell, me, news))
@@ -421,9 +446,10 @@
         refusals: Tally[str] = Tally()
         pool: Tally[str] = Tally()
         for node in nodes:
-            attempts += node.ends
-            refusals += node.gateway.given_up
-            pool += node.pool.figures
+            of_attempts, of_refusals, of_pool = node.figures()
+            attempts += of_attempts
+            refusals += of_refusals
+            pool += of_pool
         loads = [m.busy for m in self.machines.values()]
         first = sum(result.ends.values())
         return {
@@ -432,15 +458,16 @@
             "overrun": round(result.overrun / result.asked, 6) if result.asked else None,
             "sent_beyond": result.sent_on[False], "sent_inside": result.sent_on[True],
             "requests": first, "tries": result.tries, "ends": dict(sorted(result.ends.items())),
-            "latency_ms": {f"p{p:g}": result.latency.get_value_at_percentile(p) for p in (50, 90, 99, 99.9)},
+            "latency_ms": {f"p{p:g}": result.latency.get_value_at_percentile(p) for p in PERCENTILES},
             "refusals": dict(sorted(refusals.items())), "attempts": dict(sorted(attempts.items())),
             "counter": dict(sorted(self.counter.ends.items())),
             "handshakes": sum(m.handshakes for m in self.machines.values()),
             "pool": dict(sorted(pool.items())),
             "load_spread": round(max(loads) / (sum(loads) / len(loads)), 3) if sum(loads) else None,
+            "loads": [round(load, 3) for load in loads], "over_time": self.over_time,
             "breaches": len(self.rules.breaches),
             "first_breaches": [
-                {"rule": b.rule, "at": round(b.at - BEGIN, 6), "what": b.what}
+                {"rule": b.rule, "at": round(b.at - self.origin, 6), "what": b.what}
                 for b in self.rules.breaches[:MOST_BREACHES]],
             "fallen": sorted(m.name for m in self.machines.values() if m.fell),
             "service": [[n * WINDOW, round(asked, 3), round(earned, 3)]
--- a/tests/bed.py
+++ b/tests/bed.py
@@ -3,11 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
 import os
 import resource
 import socket
-import struct
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from contextlib import asynccontextmanager, contextmanager
 from typing import Any
@@ -15,31 +13,15 @@
 import uvloop
 
 from embersill.__main__ import Program, build_configuration
+from embersill.lab.peers import HOST, Asked, read_message, reset
 from embersill.net.backends import BackendConnection
 from embersill.net.pool import Pool
-from tests.peers import (
-    HOST, SOON, Asked, BackendPeer, CounterPeer, DiscoveryPeer, read_message, settings_text,
-)
+from tests.peers import SOON, BackendPeer, CounterPeer, DiscoveryPeer, settings_text
 
 CUSTOMER = "00000000000000c1"
 READY = b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"
 
 
-PORTS = itertools.count(20000 + os.getpid() * 16 % 12000)
-
-
-def free_port() -> int:
-    """A port for a process that is started later: below those that connections get, as one might take it."""
-    while True:
-        port = 20000 + next(PORTS) % 12000
-        with socket.socket() as probe:
-            try:
-                probe.bind((HOST, port))
-            except OSError:
-                continue
-        return port
-
-
 def run(test: Callable[[], Awaitable[None]]) -> None:
     async def bounded() -> None:
         async with asyncio.timeout(3 * SOON):
@@ -90,9 +72,7 @@
 
     def reset(self) -> None:
         """Ends the connection so that the gateway sees it broken, not only closed for sending."""
-        sock = self.writer.get_extra_info("socket")
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-        self.writer.transport.abort()
+        reset(self.writer)
 
     async def closed(self) -> bool:
         """Waits for the gateway to close; False if it sends something more first."""
--- a/tests/lists.py
+++ b/tests/lists.py
@@ -17,7 +17,8 @@
 
 from embersill.directory.__main__ import Program
 from embersill.directory.service import Options
-from tests.peers import HOST, SOON
+from embersill.lab.peers import HOST
+from tests.peers import SOON
 
 ROOT = pathlib.Path(__file__).parent.parent
 
--- a/tests/measure_drain.py
+++ b/tests/measure_drain.py
@@ -19,8 +19,9 @@
 from contextlib import asynccontextmanager
 from typing import Any
 
+from embersill.lab.peers import Asked, message
 from tests.bed import READY, Client, request
-from tests.peers import Asked, BackendPeer, message
+from tests.peers import BackendPeer
 from tests.test_directory_gateways import GatewayProcess
 from tests.test_ops_real import BACKENDS, Site, site
 from tests.test_program import until_ready
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -9,66 +9,12 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-HOST = "127.0.0.1"
+from embersill.lab.peers import Asked, Peer, message, read_call, read_message, total_text
+
 SOON = 10.0  # seconds after which a test that waits for an event gives up: it passes long before
-Asked = tuple[str, dict[str, str], bytes]  # a request: first line, headers in lower case, body
 Step = Callable[[asyncio.StreamWriter, Asked], Awaitable[None] | None]
 
 
-class Peer:
-    """A listening socket on an ephemeral port; every connection is given to `serve`."""
-
-    def __init__(self) -> None:
-        self.server: asyncio.Server | None = None
-        self.address = ""
-        self.connections = 0
-        self.open: set[asyncio.StreamWriter] = set()
-
-    async def start(self, port: int = 0) -> None:
-        self.server = await asyncio.start_server(self.connected, HOST, port)
-        self.address = f"{HOST}:{self.server.sockets[0].getsockname()[1]}"
-
-    async def connected(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.connections += 1
-        self.open.add(writer)
-        try:
-            await self.serve(reader, writer)
-        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
-            pass  # the gateway closed it, or the test is over
-        finally:
-            self.open.discard(writer)
-            writer.close()
-
-    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        raise NotImplementedError
-
-    async def stop(self) -> None:
-        if self.server is not None:
-            self.server.close()
-        for writer in list(self.open):
-            writer.transport.abort()
-
-
-async def read_message(reader: asyncio.StreamReader) -> Asked:
-    """One HTTP message: its first line, headers in lower case, and body."""
-    head = (await reader.readuntil(b"\r\n\r\n")).decode()
-    first, *lines = head.rstrip().split("\r\n")
-    headers = {k.lower(): v.strip() for k, _, v in (line.partition(":") for line in lines)}
-    if headers.get("transfer-encoding") != "chunked":
-        return first, headers, await reader.readexactly(int(headers.get("content-length", 0)))
-    body = b""
-    while size := int((await reader.readuntil(b"\r\n")).split(b";")[0], 16):
-        body += (await reader.readexactly(size + 2))[:-2]
-    while await reader.readuntil(b"\r\n") != b"\r\n":
-        pass  # trailers
-    return first, headers, body
-
-
-def message(status: int, body: bytes = b"", *headers: str) -> bytes:
-    lines = [f"HTTP/1.1 {status} X", *headers, f"Content-Length: {len(body)}", "", ""]
-    return "\r\n".join(lines).encode() + body
-
-
 def serve(writer: asyncio.StreamWriter, asked: Asked) -> None:
     writer.write(message(200, b"served " + asked[1]["x-call-id"].encode(), "Billed-Units: 2"))
 
@@ -180,16 +126,13 @@
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while True:
-            words = []
-            for _ in range(int((await reader.readuntil(b"\r\n"))[1:])):
-                size = int((await reader.readuntil(b"\r\n"))[1:])
-                words.append((await reader.readexactly(size + 2))[:-2].decode())
+            words = await read_call(reader)
             name, amount = words[1], float(words[2])
             self.calls.append((name, amount))
             self.sums[name] = self.sums.get(name, 0.0) + amount
-            total = f"{self.sums[name]:.7g}"
+            answer = total_text(self.sums[name])
             await self.free.wait()
-            writer.write(self.say.pop(0) if self.say else f"${len(total)}\r\n{total}\r\n".encode())
+            writer.write(self.say.pop(0) if self.say else answer)
 
 
 def settings_text(**limits: Any) -> dict[str, Any]:
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -12,11 +12,12 @@
 import pytest
 
 from embersill.interface import Outcome
+from embersill.lab.peers import HOST, Asked, free_port, message
 from embersill.net.backends import Answer, Attempt, Dialer
 from embersill.net.bodies import WHOLE, Sink
 from embersill.net.pool import Address, Pool
-from tests.bed import free_port, links, no_descriptors, run
-from tests.peers import HOST, SOON, Asked, BackendPeer, Step, message
+from tests.bed import links, no_descriptors, run
+from tests.peers import SOON, BackendPeer, Step
 
 HEAD = b"POST /api HTTP/1.1\r\nX-Call-Id: 1\r\nContent-Length: 2\r\n"
 
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -7,10 +7,11 @@
 
 import pytest
 
+from embersill.lab.peers import Asked, message, read_message
 from embersill.net.bodies import READ, WHOLE
 from embersill.net.clients import READ_WITHIN, SLOWEST
 from tests.bed import Bed, Client, links, request, roomy_settings, run, running
-from tests.peers import SOON, Asked, message, read_message, serve
+from tests.peers import SOON, serve
 
 LARGE = random.Random(7).randbytes(1_000_000)
 FRAMINGS = ("length", "chunked", "end")
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -7,10 +7,11 @@
 
 import pytest
 
+from embersill.lab.peers import Asked, message
 from embersill.net.bodies import MOST_BODY, WHOLE
 from embersill.net.clients import MOST_HEAD, READ_WITHIN, SLOWEST, STALLED, STUCK
 from tests.bed import READY, Bed, Client, request, roomy_settings, run, running
-from tests.peers import Asked, message, serve
+from tests.peers import serve
 
 
 def with_bed(test: Callable[[Bed, Client], Awaitable[None]]) -> None:
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -8,9 +8,10 @@
 
 import pytest
 
+from embersill.lab.peers import Asked, message
 from embersill.net.console import MOST_CALLERS, MOST_LINE
 from tests.bed import READY, Bed, request, roomy_settings, run, running
-from tests.peers import SOON, Asked, message, serve
+from tests.peers import SOON, serve
 
 
 async def figures(bed: Bed) -> dict[str, Any]:
--- a/tests/test_counter.py
+++ b/tests/test_counter.py
@@ -9,9 +9,10 @@
 import pytest
 
 from embersill.interface import Counted, Outcome
+from embersill.lab.peers import HOST
 from embersill.net.counter import IDLE_LIMIT, SILENT_AFTER, Counter
 from tests.bed import no_descriptors, run
-from tests.peers import HOST, CounterPeer
+from tests.peers import CounterPeer
 
 
 class Told:
--- a/tests/test_directory_gateways.py
+++ b/tests/test_directory_gateways.py
@@ -10,9 +10,10 @@
 from contextlib import asynccontextmanager
 from typing import Any
 
-from tests.bed import READY, Bed, Client, free_port, request, roomy_settings
+from embersill.lab.peers import HOST, free_port
+from tests.bed import READY, Bed, Client, request, roomy_settings
 from tests.lists import Caller, Process, caller, process, run
-from tests.peers import HOST, SOON, BackendPeer, CounterPeer
+from tests.peers import SOON, BackendPeer, CounterPeer
 from tests.test_program import ROOT, RUN, until_ready
 
 GATEWAYS = 3
--- a/tests/test_directory_service.py
+++ b/tests/test_directory_service.py
@@ -20,9 +20,10 @@
 from embersill.directory.__main__ import Program
 from embersill.directory.front import BoundedLog
 from embersill.directory.logfile import NotWritten
+from embersill.lab.peers import HOST
 from embersill.net.discovery import read_listing
 from tests.lists import ROOT, Caller, process, run, served
-from tests.peers import HOST, SOON
+from tests.peers import SOON
 
 
 def set_clock(program: Program, now: list[float]) -> None:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -7,11 +7,12 @@
 import pytest
 
 from embersill.interface import ListKind, Status
+from embersill.lab.peers import message
 from embersill.net.discovery import (
     BadList, Discovery, Listing, NoRoom, read_address, read_addresses, read_listing,
 )
 from tests.bed import no_descriptors, request, run, running
-from tests.peers import SOON, DiscoveryPeer, message
+from tests.peers import SOON, DiscoveryPeer
 
 
 async def follow(
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -9,8 +9,9 @@
 
 from embersill.control import Gateway
 from embersill.interface import Action, Event, Fail, Request, Send
+from embersill.lab.peers import Asked, message
 from tests.bed import Bed, request, roomy_settings, run, running
-from tests.peers import Asked, Step, message, serve
+from tests.peers import Step, serve
 
 
 def says(text: bytes) -> Step:
--- a/tests/test_full_table.py
+++ b/tests/test_full_table.py
@@ -13,9 +13,10 @@
 from embersill.lab.clock import Clock
 from embersill.lab.counter import CounterService
 from embersill.lab.machine import Machine
+from embersill.lab.network import Way, Weather
 from embersill.lab.node import Attempt, Call, Node
 from embersill.lab.rules import Rules
-from embersill.lab.scenario import BackendForm, Class, Counter, PlanForm
+from embersill.lab.scenario import BackendForm, Class, Counter, Net, PlanForm
 from tests.helpers import SETTINGS, backend, backends, request
 
 GATEWAYS, ROOM = 20, 14
@@ -24,17 +25,6 @@
 SMALL = PlanForm(name="small", share=1.0, rate=1.0, burst=2.0)
 
 
-class Near:
-    def delay(self, machine: Machine) -> float:
-        return WAY
-
-    def passes(self, zone: str) -> bool:
-        return True
-
-    def loses(self) -> bool:
-        return False
-
-
 class Counting(Node):
     """A gateway, and what it had served at the full backend."""
 
@@ -54,9 +44,10 @@
         listed = backends(*map(backend, self.machines))
         self.nodes = []
         for me in range(GATEWAYS):
+            way = Way(Net(same=WAY, jitter=0.0), "z", self.dice, Weather())
             settings = replace(SETTINGS, me=me, gateways=GATEWAYS, pool=known)
             node = Counting(
-                f"n{me}", self.clock, settings, me, Near(), self.machines, counter, self.rules, 100, 0.25,
+                f"n{me}", self.clock, settings, me, way, self.machines, counter, self.rules, 100, 0.25,
                 15.0)
             node.hear(listed)
             self.nodes.append(node)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -13,11 +13,12 @@
 
 from embersill.__main__ import Program
 from embersill.interface import Alone, Inherit, ListKind, Outcome, Refuse, Request, Send, Suspend, TimerDue
+from embersill.lab.peers import Asked
 from embersill.net.handover import LINK, STATE
 from tests.bed import READY, Bed, request, roomy_settings, run, running
 from tests.helpers import CAPPED, backend, backends, ended, gateway
 from tests.helpers import request as asked_for
-from tests.peers import SOON, Asked, serve
+from tests.peers import SOON, serve
 
 
 def counted(program: object, kind: str) -> int:
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -20,7 +20,7 @@
 from embersill.lab.machine import Condition, Job, Machine
 from embersill.lab.rules import Rules
 from embersill.lab.scenario import (
-    BackendForm, BadScenario, Class, Counter, PlanForm, build_scenario, read_scenario,
+    BackendForm, BadScenario, Class, Counter, PlanForm, build_scenario, load,
 )
 from embersill.lab.world import World
 from tests.helpers import backend
@@ -162,7 +162,7 @@
 
 @pytest.mark.parametrize("path", sorted(SHIPPED.glob("*.toml")), ids=lambda p: p.stem)
 def test_each_shipped_scenario_plays_the_same_each_time_and_accounts_for_all(path: pathlib.Path) -> None:
-    assert read_scenario(path).name == path.stem
+    assert load(path)["name"] == path.stem
     told = small(path.stem)
     for fault in told.get("faults", []):
         fault.update(at=4.0, lasts=4.0)
@@ -193,9 +193,10 @@
     path = tmp_path / "mine.toml"
     text = (SHIPPED / "calm.toml").read_text().replace("= 60", "= 6")
     path.write_text(text)
-    done = lab("run", str(path), "--seed", "3", "--seed", "4", "--json", str(tmp_path / "out.json"))
+    done = lab("run", str(path), "--seed", "3", "--seed", "4", "--out", str(tmp_path / "out"))
     assert done.returncode == 0 and len(done.stdout.splitlines()) == 2, done.stderr
-    assert [run["seed"] for run in json.loads((tmp_path / "out.json").read_text())] == [3, 4]
+    plays = json.loads((tmp_path / "out" / "result.json").read_text())["plays"]
+    assert [play["report"]["seed"] for play in plays] == [3, 4]
     path.write_text(text.replace("aim = 2.0", "aim = -2.0"))
     for wrong in (path, tmp_path / "none.toml"):
         done = lab("run", str(wrong))
--- a/tests/test_ops_real.py
+++ b/tests/test_ops_real.py
@@ -12,9 +12,10 @@
 
 import pytest
 
-from tests.bed import READY, free_port, request
+from embersill.lab.peers import HOST, Asked, Peer, free_port, read_message
+from tests.bed import READY, request
 from tests.lists import Caller, process, run
-from tests.peers import HOST, SOON, Asked, BackendPeer, Peer, read_message
+from tests.peers import SOON, BackendPeer
 from tests.test_directory_gateways import GatewayProcess, Load, gateways
 from tests.test_program import ROOT, until_ready
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -19,9 +19,10 @@
 import pytest
 
 from embersill.__main__ import LAST_READ, STILL_COMING
+from embersill.lab.peers import HOST, Asked, free_port
 from embersill.net.clients import SETTLED
-from tests.bed import READY, Bed, Client, free_port, request, roomy_settings, run, running
-from tests.peers import HOST, SOON, Asked, DiscoveryPeer, serve
+from tests.bed import READY, Bed, Client, request, roomy_settings, run, running
+from tests.peers import SOON, DiscoveryPeer, serve
 
 ROOT = pathlib.Path(__file__).parent.parent
 # the deploy file's command where .ci/run names it, so that what is deployed is what is tested
