--- a/embersill/control.py
+++ b/embersill/control.py
@@ -9,7 +9,7 @@
 from collections.abc import Mapping
 from dataclasses import replace
 from itertools import accumulate
-from math import ceil, exp, inf, sqrt
+from math import ceil, exp, gcd, inf, sqrt
 from typing import Any
 
 from embersill.interface import (
@@ -1056,10 +1056,16 @@
 
 
 def place_at(address: str, settings: Settings) -> int:
-    """This gateway's place among all at a backend: another at each, and known without a word."""
-    places = list(range(settings.gateways))
-    random.Random(zlib.crc32(address.encode())).shuffle(places)
-    return places[settings.me % settings.gateways]
+    """This gateway's place among all at a backend: another at each, and known without a word.
+
+    Of a step that has no factor in common with their number, each has one of its own. A shuffle of all at
+    each backend is as even, and took half a second of a core at the start of one of 1,000 among 1,000.
+    """
+    drawn, gateways = zlib.crc32(address.encode()), settings.gateways
+    step = 1 + drawn % gateways
+    while gcd(step, gateways) > 1:
+        step += 1
+    return (step * settings.me + drawn // gateways) % gateways
 
 
 def group_of(klass: RequestClass, server: Server) -> str | int:
