--- a/embersill/lab/counter.py
+++ b/embersill/lab/counter.py
@@ -19,6 +19,7 @@
         self.free_at = [0.0] * form.parts
         self.totals: dict[str, tuple[float, float]] = {}  # a name's total, and when it is forgotten
         self.down = False
+        self.slowed = 1.0  # times as long that a call takes
         self.ends: Tally[str] = Tally()
 
     def add(self, name: str, amount: float, life: float, told: Callable[[Counted], None]) -> None:
@@ -34,10 +35,10 @@
 
         if self.down:
             self.stay_silent(name, told)
-        elif (begins - arrives) * form.per_s > form.line:
+        elif (begins - arrives) * form.per_s > form.line * self.slowed:
             self.clock.later(form.delay, lambda: tell(Outcome.TURNED_AWAY, 0.0))
         else:
-            self.free_at[part] = done = begins + 1.0 / form.per_s
+            self.free_at[part] = done = begins + self.slowed / form.per_s
             back = done + form.delay / 2
             self.clock.later(done - began, lambda: self.serve(name, amount, life, back, began, tell))
 
@@ -61,6 +62,9 @@
         else:
             self.clock.later(back - now, lambda: tell(Outcome.SERVED, total))
 
+    def lose_all(self) -> None:
+        self.totals.clear()
+
     def forget(self) -> None:
         """Drops names that are over, so that a long day stays small."""
         now = self.clock.now
--- a/embersill/lab/customers.py
+++ b/embersill/lab/customers.py
@@ -68,18 +68,26 @@
         number = max(1, round(plan.share * scenario.load.inside * capacity / inside))
         heavy = dice.random(number) < plan.heavy
         firsts = dice.integers(0, gateways, number)
-        width = max(2, round(plan.spread * gateways))
-        if plan.ceiling > 0.0:  # each gateway's part of it must hold two requests
-            width = max(2, min(width, int(plan.ceiling * plan.burst / 2.0)))
-        width = min(width, gateways)
+        width = width_of(plan, gateways)
         for n in range(number):
             use = plan.heavy_use if heavy[n] else plan.use
-            asked, used = (Store(plan.rate, plan.burst, plan.burst) for _ in range(2))
-            made.append(Customer(
-                f"{len(made):016x}", plan, use * plan.rate, int(firsts[n]), width, asked, used))
+            made.append(make_customer(len(made), plan, use * plan.rate, int(firsts[n]), width))
     return made
 
 
+def make_customer(number: int, plan: PlanForm, rate: float, first: int, width: int) -> Customer:
+    asked, used = (Store(plan.rate, plan.burst, plan.burst) for _ in range(2))
+    return Customer(f"{number:016x}", plan, rate, first, width, asked, used)
+
+
+def width_of(plan: PlanForm, gateways: int) -> int:
+    """Through how many gateways a customer's requests come."""
+    width = max(2, round(plan.spread * gateways))
+    if plan.ceiling > 0.0:  # each gateway's part of it must hold two requests
+        width = max(2, min(width, int(plan.ceiling * plan.burst / 2.0)))
+    return min(width, gateways)
+
+
 def gateway_weights(width: int, skew: float) -> np.ndarray[tuple[int], np.dtype[np.float64]]:
     """How a customer's tries are dealt out over its gateways, summed up."""
     weights = 1.0 / np.arange(1, width + 1) ** skew
--- a/embersill/lab/node.py
+++ b/embersill/lab/node.py
@@ -4,12 +4,12 @@
 
 from collections import Counter as Tally
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from embersill.control import Gateway
 from embersill.interface import (
-    Action, AttemptEnded, BackendList, Cancel, Count, Counted, Event, Fail, HangUp, OpenFailed, Outcome,
-    Refuse, Request, Send, SetTimer, Settings, Size, TimerDue, Warm,
+    Action, AttemptEnded, BackendList, Cancel, ClientLeft, Count, Counted, Event, Fail, HangUp, OpenFailed,
+    Outcome, Refuse, Request, Send, SetTimer, Settings, Size, TimerDue, Warm,
 )
 from embersill.lab.clock import Event as Due
 from embersill.lab.clock import Time
@@ -42,6 +42,7 @@
     sent_on: Callable[[], None]
     answered: Callable[[Outcome, float], None]
     tries: list[Attempt] = field(default_factory=list)
+    left: bool = False  # its client has gone
 
 
 class Attempt:
@@ -168,12 +169,13 @@
 
     def __init__(self, name: str, clock: Time, settings: Settings, seed: int, way: Way,
                  machines: dict[str, Machine], counter: CounterService, rules: Rules, most: int,
-                 dial_timeout: float, keepalive: float) -> None:
-        """`name`: of this process, and of no other in the run."""
+                 dial_timeout: float, keepalive: float, skew: float = 0.0) -> None:
+        """`name`: of this process, and of no other in the run; `skew`: seconds that its clock is ahead."""
         self.name, self.rules = name, rules
         self.clock, self.way, self.machines, self.counter = clock, way, machines, counter
         self.dial_timeout, self.alive = dial_timeout, True
-        self.gateway = Gateway(settings, seed, clock.now)
+        self.skew = skew
+        self.gateway = Gateway(settings, seed, clock.now + skew)
         self.pool = Pool(lambda: clock.now, self.open, most, keepalive, settings.pool, seed)
         self.pool.open_failed = lambda backend, up: self.post(OpenFailed(backend, up))
         self.calls: dict[int, Call] = {}
@@ -201,7 +203,26 @@
         """A client's try; `request` has a number of this gateway's, from `number`."""
         self.calls[request.id] = call
         self.rules.taken(self.name, request.id, call.klass, request.customer, call.deadline)
-        self.post(request)
+        self.post(replace(request, deadline=request.deadline + self.skew) if self.skew else request)
+
+    def leave(self, number: int) -> None:
+        """The client of that try has gone."""
+        call = self.calls.get(number)
+        if call is None or call.left or not self.alive:
+            return
+        call.left = True
+        self.rules.left(self.name, number)
+        for attempt in call.tries:
+            if attempt.link is None:
+                attempt.end(Outcome.NOT_SENT)
+        self.post(ClientLeft(number))
+        self.forget(number)
+
+    def forget(self, number: int) -> None:
+        """One whose client has gone stays until its attempts have ended."""
+        call = self.calls.get(number)
+        if call is not None and call.left and all(attempt.ended for attempt in call.tries):
+            del self.calls[number]
 
     def number(self) -> int:
         self.taken += 1
@@ -236,9 +257,11 @@
         self.rules.ended(self.name, attempt.number, attempt.place, outcome)
         if outcome is Outcome.SERVED:
             self.finish(attempt.number, Outcome.SERVED)
-        over = attempt.number not in self.calls
+        call = self.calls.get(attempt.number)
+        over = call is None or call.left
         self.post(AttemptEnded(attempt.number, attempt.place, attempt.backend, outcome,
                                self.clock.now - attempt.sent_at, over, 0.0, ()))
+        self.forget(attempt.number)
 
     # what the module wants
 
@@ -249,7 +272,7 @@
         self.handling = True
         try:
             while self.events:
-                for action in self.gateway.handle(self.events.pop(0), self.clock.now):
+                for action in self.gateway.handle(self.events.pop(0), self.clock.now + self.skew):
                     self.act(action)
         finally:
             self.handling = False
@@ -282,7 +305,7 @@
 
     def send(self, action: Send) -> None:
         call = self.calls.get(action.request)
-        if call is None:
+        if call is None or call.left:
             return
         self.rules.sent(self.name, action.request, self.machines[action.backend], call.plan, self.clock.now)
         if not call.tries:
@@ -293,8 +316,9 @@
         self.pool.start(attempt)
 
     def finish(self, number: int, outcome: Outcome, retry_after: float = 0.0) -> None:
-        call = self.calls.pop(number, None)
-        if call is not None:
+        call = self.calls.get(number)
+        if call is not None and not call.left:
+            del self.calls[number]
             self.rules.answered(self.name, number, outcome, self.clock.now)
             call.answered(outcome, retry_after)
             for attempt in call.tries:
--- a/embersill/lab/real.py
+++ b/embersill/lab/real.py
@@ -14,7 +14,7 @@
 import signal
 import time
 from collections import Counter as Tally
-from collections.abc import Callable, Coroutine, Iterable
+from collections.abc import Awaitable, Callable, Coroutine, Iterable
 from dataclasses import dataclass
 from functools import partial
 from typing import Any
@@ -40,6 +40,14 @@
 LOOK_EVERY = 0.05  # seconds between looks at how late this process is itself
 SOCKETS, MEMORY = 1024, 192  # of a gateway: descriptors and MB, as on the platform
 FIGURE = re.compile(r"(attempt|gave up|pool) ([a-z ]+) (\d+)")
+OWED_WITHIN = 3.0  # seconds in which a peer that sends no proper request is owed an error or a close
+BROKEN = {
+    "silence": b"", "half a head": b"GET /api HTTP/1.1\r\nHost: x\r\n",
+    "no HTTP": b"\x16\x03\x01\x02\x00" * 50,
+    "no id": b"GET /api?client=00000000b4d65521 HTTP/1.1\r\nHost: x\r\n\r\n",
+    "two lengths": b"POST /api HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+    "a head without end": b"GET /api HTTP/1.1\r\n" + b"X-Filler: " + b"x" * 100_000,
+}
 READY = b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"
 STATES = {Status.SERVING: "SERVING", Status.DRAINING: "DRAINING", Status.GONE: "DELETED"}
 
@@ -264,6 +272,7 @@
         self.world, self.me, self.name, self.seed, self.way, self.alive = world, me, name, seed, way, False
         self.agent: Agent = world.agents[me]
         self.taken = 0
+        self.asking: dict[int, asyncio.Task[None]] = {}
         self.child: asyncio.subprocess.Process | None = None
         self.ended = False  # by us
         self.idle: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = []
@@ -285,17 +294,21 @@
                 "/bin/sh", "-c", world.command, cwd=world.root, stdout=log, stderr=log,
                 env={**env, "RELAY_CONFIG": str(configuration), "TMPDIR": str(folder)})
         world.spawn(self.watch(self.child))
-        async with asyncio.timeout(READY_WITHIN):
-            while not self.ended:
-                try:
-                    first, _, _ = await self.exchange(READY)
-                    if first.split()[1] == "200":
-                        break
-                except (OSError, asyncio.IncompleteReadError):
-                    pass
-                await asyncio.sleep(0.02)
+        try:
+            async with asyncio.timeout(READY_WITHIN):
+                while not (self.ended or await self.is_ready()):
+                    await asyncio.sleep(0.02)
+        except TimeoutError:
+            raise Crashed(f"{self.name} did not get ready; its log: {self.last_line()}") from None
         self.alive = not self.ended
 
+    async def is_ready(self) -> bool:
+        try:
+            first, _, _ = await self.exchange(READY)
+        except (OSError, asyncio.IncompleteReadError):
+            return False
+        return first.split()[1] == "200"
+
     async def watch(self, child: asyncio.subprocess.Process) -> None:
         code = await child.wait()
         if not self.ended:
@@ -318,7 +331,8 @@
         name = f"{len(self.world.held) + 1:016x}"
         self.world.held[name] = held
         self.world.rules.taken(self.name, request.id, call.klass, request.customer, call.deadline)
-        self.world.spawn(self.ask(name, held))
+        task = self.asking[request.id] = self.world.spawn(self.ask(name, held))
+        task.add_done_callback(lambda _: self.asking.pop(request.id))
 
     async def ask(self, name: str, held: Held) -> None:
         """The whole of a client's try. Without an answer in time it goes away, and the rules see that."""
@@ -345,6 +359,13 @@
                 world.rules.answered(self.name, held.number, outcome, world.clock.now)
         call.answered(outcome, retry_after)
 
+    def leave(self, number: int) -> None:
+        """Its client closes its connection."""
+        task = self.asking.get(number)
+        if task is not None:
+            self.world.rules.left(self.name, number)
+            task.cancel()
+
     def text(self, name: str, held: Held) -> bytes:
         request, call = held.request, held.call
         get = call.klass.semantics == "repeatable"
@@ -470,11 +491,12 @@
 
     # the run
 
-    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+    def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         """A part of the run: where it fails, the run does."""
         task = self.loop.create_task(work)
         self.tasks.add(task)
         task.add_done_callback(self.ended)
+        return task
 
     def ended(self, task: asyncio.Task[None]) -> None:
         self.tasks.discard(task)
@@ -489,22 +511,56 @@
         self.late = max(self.late, self.clock.now - due)
         self.clock.later(LOOK_EVERY, partial(self.look, self.clock.now + LOOK_EVERY))
 
+    def send_broken(self) -> None:
+        """Peers that send no proper request, at times that chance gives."""
+        rate = self.scenario.load.broken * len(self.nodes)
+        if rate > 0.0 and self.clock.now < self.origin + self.scenario.seconds:
+            self.spawn(self.be_broken())
+            self.clock.later(float(self.chaos.exponential(1.0 / rate)), self.send_broken)
+
+    async def be_broken(self) -> None:
+        """One of them: it is owed an error or a close in time."""
+        node = self.nodes[int(self.chaos.integers(len(self.nodes)))]
+        name = str(self.chaos.choice(list(BROKEN)))
+        began, first = self.clock.now, b""
+        try:
+            async with asyncio.timeout(OWED_WITHIN + 1.0):
+                reader, writer = await asyncio.open_connection(HOST, self.ports[self.nodes.index(node)])
+                writer.write(BROKEN[name])
+                first = await reader.readline()
+                writer.close()
+        except TimeoutError:
+            pass
+        except OSError:
+            return  # closed, or its gateway is dead
+        late = self.clock.now - began > OWED_WITHIN + SLACK
+        if node.alive and (late or first and not 400 <= int(first.split()[1]) < 600):
+            self.rules.breach("bad input", self.clock.now, f"{name!r} at {node.name} got {first!r}")
+
     async def run(self) -> None:
         """All of it, in real time. Crashed where a gateway does not start, live or stop as it should."""
         self.loop.set_exception_handler(lambda _, told: self.fail(told.get("exception")))
         try:
             for peer in (*self.servers.values(), *self.agents, self.counting):
                 await (peer.begin() if isinstance(peer, BackendServer) else peer.start())
-            await asyncio.gather(*(self.launch(me) for me in range(len(self.nodes))))
+            await self.unless_failed(asyncio.gather(*(self.launch(me) for me in range(len(self.nodes)))))
             self.begin()
             self.look(self.clock.now)
-            await asyncio.wait({self.failure}, timeout=self.over_at() - self.clock.now)
-            if self.failure.done():
-                await self.failure
+            self.send_broken()
+            await self.unless_failed(asyncio.sleep(self.over_at() - self.clock.now))
             self.close()
         finally:
             await self.stop()
 
+    async def unless_failed(self, work: Awaitable[Any]) -> None:
+        """Ends with the run's failure, where that comes first."""
+        waited = asyncio.ensure_future(work)
+        await asyncio.wait({waited, self.failure}, return_when=asyncio.FIRST_COMPLETED)
+        if self.failure.done():
+            waited.cancel()
+            await self.failure
+        await waited
+
     async def stop(self) -> None:
         nodes = [node for node in (*self.old, *self.nodes) if isinstance(node, RealNode)]
         stops = await asyncio.gather(*(node.stop() for node in nodes), return_exceptions=True)
--- a/embersill/lab/rules.py
+++ b/embersill/lab/rules.py
@@ -130,6 +130,10 @@
             self.breach("one answer", now, f"{asked.name} is answered {now - asked.deadline:.2f} s late")
         return None
 
+    def left(self, node: str, number: int) -> None:
+        """Its client has gone: nothing is owed any more."""
+        self.open.pop((node, number), None)
+
     def died(self, node: str) -> None:
         self.open = {key: asked for key, asked in self.open.items() if key[0] != node}
 
--- a/embersill/lab/scenario.py
+++ b/embersill/lab/scenario.py
@@ -33,6 +33,7 @@
     backends: Number
     zones: Annotated[tuple[str, ...], Meta(min_length=1, max_length=26)] = ("a",)
     cell_size: Number = 6
+    regions: dict[str, str] = {}  # of zones; those that are not named are in one together
 
 
 class BackendForm(Form):
@@ -57,6 +58,7 @@
     client: Some = 0.0007
     same: Some = 0.0002
     cross: Some = 0.002
+    far: Some = 0.03  # between regions
     jitter: Part = 0.2
     dial_timeout: Positive = 0.25
     keepalive: Positive = 15.0
@@ -113,6 +115,9 @@
     retries: Annotated[int, Meta(ge=0, le=10)] = 2
     backoff: Positive = 0.3
     honour: Part = 0.6  # of the clients that come back as a Retry-After says
+    impatient: Part = 0.0  # of the tries, whose clients leave early and don't come back
+    patience: Positive = 0.5  # seconds until then, on average
+    broken: Some = 0.0  # peers a second at each gateway that send no proper request; in real mode only
 
 
 class Fault(Form, kw_only=True):
@@ -121,16 +126,23 @@
     kill: processes end, and are back cold. hang: taken and not answered. slow: `factor` times as long. drain:
     the list says so. release: each is drained, ended and started again, one after the other over `lasts`.
     reset: connections break under their requests. cut: nothing passes between the zone and the others.
-    lost: a `part` of all answers. counter: silent. list: news wait until the end.
+    lost: a `part` of all answers. counter: silent, and back with no counts if it is `empty`. crowded: the
+    counter takes `factor` times as long. list: news wait until the end. clock: that of a gateway's machine is
+    `step` seconds off, for processes that start meanwhile. scan: customers that ask once add a `part` of all
+    traffic.
     """
 
-    kind: Literal["kill", "hang", "slow", "drain", "release", "reset", "cut", "lost", "counter", "list"]
+    kind: Literal["kill", "hang", "slow", "drain", "release", "reset", "cut", "lost", "counter", "crowded",
+                  "list", "clock", "scan"]
     at: Some
     lasts: Positive
     part: Part = 0.1
     zone: str = ""
     of: Literal["gateways", "backends"] = "backends"
-    factor: Positive = 5.0  # of "slow"
+    region: str = ""  # or in all zones of one
+    factor: Positive = 5.0
+    empty: bool = False
+    step: float = 5.0
 
 
 class Scenario(Form, kw_only=True):
@@ -148,11 +160,20 @@
     pool: dict[str, Any] = {}  # as in a gateway's configuration
 
 
-def load(path: pathlib.Path) -> dict[str, Any]:
-    """What the file says. BadScenario where it is no scenario: it names file and key."""
+def load(path: pathlib.Path, above: tuple[pathlib.Path, ...] = ()) -> dict[str, Any]:
+    """What the file says, over what the one says that it is `like`. Tables are merged, lists replaced.
+
+    BadScenario where it is no scenario: it names file and key. `above`: those that are like this one.
+    """
     try:
         with path.open("rb") as file:
             told = tomllib.load(file)
+        like = told.pop("like", None)
+        if like is not None:
+            base = path.with_name(f"{like}.toml")
+            if base in (*above, path):
+                raise BadScenario("it is like itself - at `$.like`")
+            told = merged(load(base, (*above, path)), told)
         build_scenario(told)
     except OSError as error:
         raise BadScenario(f"{path}: {error.strerror}") from error
@@ -161,6 +182,14 @@
     return told
 
 
+def merged(base: dict[str, Any], over: dict[str, Any]) -> dict[str, Any]:
+    made = dict(base)
+    for key, value in over.items():
+        both = isinstance(value, dict) and isinstance(base.get(key), dict)
+        made[key] = merged(base[key], value) if both else value
+    return made
+
+
 def change(told: dict[str, Any], setting: str) -> dict[str, Any]:
     """A scenario with `KEY=VALUE` set, where the key leads through tables by dots: `classes.view.work=0.3`.
 
@@ -223,15 +252,20 @@
         total = sum(share for _, share in named)
         if not 0.999 <= total <= 1.001:
             raise BadScenario(f"the shares add up to {total:g} and not to 1 - at `$.{what}`")
+    strange = scenario.fleet.regions.keys() - set(scenario.fleet.zones)
+    if strange:
+        raise BadScenario(f"there is no zone {min(strange)!r} - at `$.fleet.regions`")
     for n, fault in enumerate(scenario.faults):
         if fault.at >= scenario.seconds:
             raise BadScenario(f"at {fault.at:g} s all is over - at `$.faults[{n}].at`")
-        if fault.of == "gateways" and fault.kind != "kill":
-            raise BadScenario(f"gateways can't have {fault.kind!r} here - at `$.faults[{n}].kind`")
+        if (fault.of == "gateways") is not (fault.kind == "clock") and fault.kind != "kill":
+            raise BadScenario(f"{fault.of} can't have {fault.kind!r} here - at `$.faults[{n}].kind`")
         if fault.zone and fault.zone not in scenario.fleet.zones:
             raise BadScenario(f"there is no zone {fault.zone!r} - at `$.faults[{n}].zone`")
-        if fault.kind == "cut" and not fault.zone:
-            raise BadScenario(f"a cut names a zone - at `$.faults[{n}].zone`")
+        if fault.region and fault.region not in scenario.fleet.regions.values():
+            raise BadScenario(f"there is no region {fault.region!r} - at `$.faults[{n}].region`")
+        if fault.kind == "cut" and not (fault.zone or fault.region):
+            raise BadScenario(f"a cut names a zone or a region - at `$.faults[{n}].zone`")
 
 
 def check_real(scenario: Scenario) -> None:
@@ -242,5 +276,5 @@
     if scenario.seconds > LONGEST:
         raise BadScenario(f"real time is at most {LONGEST:g} s - at `$.seconds`")
     for n, fault in enumerate(scenario.faults):
-        if fault.kind == "cut":
-            raise BadScenario(f"no zone can be cut off on loopback - at `$.faults[{n}].kind`")
+        if fault.kind in ("cut", "clock"):
+            raise BadScenario(f"no real process has {fault.kind!r} here - at `$.faults[{n}].kind`")
--- a/embersill/lab/world.py
+++ b/embersill/lab/world.py
@@ -17,7 +17,9 @@
 )
 from embersill.lab.clock import BEGIN, Clock, Time
 from embersill.lab.counter import CounterService
-from embersill.lab.customers import Arrival, Customer, arrivals, gateway_weights, make_customers, mean_work
+from embersill.lab.customers import (
+    Arrival, Customer, arrivals, gateway_weights, make_customer, make_customers, mean_work, width_of,
+)
 from embersill.lab.machine import Condition, Machine
 from embersill.lab.node import Call, Figures, Node
 from embersill.lab.network import Way, Weather
@@ -31,6 +33,7 @@
 RESTART = 0.5  # seconds from a start until it is ready
 DRAINED = 3.0  # seconds that a release leaves a backend to finish what it has
 AGAIN = 0.5  # seconds until news that can't be told now are tried again
+STRANGERS = 1 << 32  # from where on customers are named that ask once
 MOST_LINKS = 400  # connections to backends that a gateway may have: its part of 1,024 descriptors
 FORGET_EVERY = 60.0  # seconds between clearings of what is over
 PERCENTILES = (10, 25, 50, 75, 90, 95, 99, 99.9)
@@ -112,6 +115,8 @@
 
     def take(self, request: Request, call: Call) -> None: ...
 
+    def leave(self, number: int) -> None: ...
+
     def hear(self, event: BackendList) -> None: ...
 
     def break_links(self, machine: Machine) -> None: ...
@@ -137,6 +142,7 @@
         self.machines = self.make_machines()
         self.seeds = [int(n) for n in self.parts.integers(0, 2**62, scenario.fleet.gateways)]
         self.starts = Tally[int]()
+        self.skews: dict[int, float] = {}  # seconds that the clocks of gateways' machines are ahead
         self.nodes = [self.start(n) for n in range(scenario.fleet.gateways)]
         self.heard_dead = [0.0] * len(self.nodes)  # from when the front knows that one is dead
         capacity = sum(m.capacity() for m in self.machines.values())
@@ -147,6 +153,7 @@
         self.old: list[Gatewaylike] = []
         self.over_time: list[list[float]] = []
         self.sampled = (0, 0)
+        self.strangers = 0
 
     def make_machines(self) -> dict[str, Machine]:
         fleet, form = self.scenario.fleet, self.scenario.backend
@@ -167,7 +174,7 @@
         zone = scenario.fleet.zones[me % len(scenario.fleet.zones)]
         seed, name = self.seeds[me] + self.starts[me], f"n{me}.{self.starts[me]}"
         self.starts[me] += 1
-        way = Way(scenario.net, zone, random.Random(seed), self.weather)
+        way = Way(scenario.net, zone, random.Random(seed), self.weather, scenario.fleet.regions)
         node = self.make_node(me, name, seed, way)
         node.hear(BackendList(ListKind.WHOLE, tuple(self.entry(m) for m in self.machines.values())))
         return node
@@ -175,7 +182,8 @@
     def make_node(self, me: int, name: str, seed: int, way: Way) -> Gatewaylike:
         scenario = self.scenario
         return Node(name, self.clock, settings_for(scenario, me, way.zone), seed, way, self.machines,
-                    self.counter, self.rules, MOST_LINKS, scenario.net.dial_timeout, scenario.net.keepalive)
+                    self.counter, self.rules, MOST_LINKS, scenario.net.dial_timeout, scenario.net.keepalive,
+                    self.skews.get(me, 0.0))
 
     def entry(self, machine: Machine) -> Backend:
         status = Status.DRAINING if machine.name in self.leaving else Status.SERVING
@@ -235,15 +243,18 @@
             self.clock.later(max(at - self.clock.now, 0.0), lambda: self.arrive(arrival))
 
     def arrive(self, arrival: Arrival) -> None:
-        customer = self.customers[arrival.customer]
-        klass, now = self.scenario.classes[arrival.klass], self.clock.now
-        asked = Try(customer, klass, arrival.work, now)
+        self.ask(self.customers[arrival.customer], self.scenario.classes[arrival.klass], arrival.work)
+        self.next_arrival()
+
+    def ask(self, customer: Customer, klass: Class, work: float) -> None:
+        """A client's first try."""
+        now = self.clock.now
+        asked = Try(customer, klass, work, now)
         if customer.asked.take(now - self.origin):
             self.result.asked += asked.worth()
             self.row(now)[0] += asked.worth()
         self.send(asked)
         self.clock.later(klass.deadline, lambda: self.give_up(asked))
-        self.next_arrival()
 
     def row(self, when: float) -> list[float]:
         return self.result.rows.setdefault(int((when - self.origin) // WINDOW), [0.0, 0.0])
@@ -291,8 +302,18 @@
             Request(number, asked.klass.name, customer.plan.name, customer.name, end, 1.0, customer.width,
                     customer.first, asked.tries > 1),
             Call(asked.klass, customer.plan, asked.work, deadline, end, sent_on, answered))
+        load = self.scenario.load
+        if load.impatient > 0.0 and self.habit.random() < load.impatient:
+            patience = float(self.habit.exponential(load.patience))
+            self.clock.later(patience, lambda: self.turn_away(asked, node, number))
         return None
 
+    def turn_away(self, asked: Try, node: Gatewaylike, number: int) -> None:
+        """Its client does not wait any longer, unless it has its answer."""
+        if not asked.done:
+            self.end(asked, "left")
+            node.leave(number)
+
     def sent_on(self, asked: Try) -> None:
         asked.covered = asked.customer.used.take(self.clock.now - self.origin)
         self.result.sent_on[asked.covered] += 1
@@ -333,8 +354,12 @@
     # what goes wrong
 
     def strike(self, fault: Fault) -> None:
-        if fault.kind in ("counter", "list", "cut", "lost"):
+        if fault.kind in ("counter", "crowded", "list", "cut", "lost"):
             return self.spoil(fault)
+        if fault.kind == "scan":
+            return self.scan(fault.part * sum(c.rate for c in self.customers), self.clock.now + fault.lasts)
+        if fault.kind == "clock":
+            return self.step_clocks(fault)
         if fault.of == "gateways":
             for me in self.drawn(fault, [n.way.zone for n in self.nodes]):
                 self.kill(me, fault.lasts)
@@ -350,10 +375,36 @@
 
     def drawn(self, fault: Fault, zones: list[str]) -> list[int]:
         """Whom it strikes: all in its zone, or a part of all."""
-        if fault.zone:
-            return [n for n, zone in enumerate(zones) if zone == fault.zone]
+        if fault.zone or fault.region:
+            struck = self.struck(fault)
+            return [n for n, zone in enumerate(zones) if zone in struck]
         return [int(n) for n in self.chaos.permutation(len(zones))[: ceil(fault.part * len(zones))]]
 
+    def struck(self, fault: Fault) -> frozenset[str]:
+        """Zones."""
+        regions = self.scenario.fleet.regions
+        return frozenset(zone for zone in self.scenario.fleet.zones
+                         if zone == fault.zone or fault.region and regions.get(zone) == fault.region)
+
+    def step_clocks(self, fault: Fault) -> None:
+        struck = self.drawn(fault, [n.way.zone for n in self.nodes])
+        self.skews.update(dict.fromkeys(struck, fault.step))
+        self.clock.later(fault.lasts, partial(self.skews.update, dict.fromkeys(struck, 0.0)))
+
+    def scan(self, rate: float, until: float) -> None:
+        """Customers that ask once, at that rate."""
+        if self.clock.now >= until:
+            return
+        plan, gateways = self.scenario.plans[0], len(self.nodes)
+        klass = self.scenario.classes[int(self.chaos.integers(len(self.scenario.classes)))]
+        width = width_of(plan, gateways)
+        self.weights.setdefault(width, gateway_weights(width, self.scenario.load.skew))
+        self.strangers += 1
+        first = int(self.chaos.integers(gateways))
+        stranger = make_customer(STRANGERS + self.strangers, plan, 0.0, first, width)
+        self.ask(stranger, klass, klass.work)
+        self.clock.later(float(self.chaos.exponential(1.0 / rate)), lambda: self.scan(rate, until))
+
     def spoil(self, fault: Fault) -> None:
         """What befalls all at once, and its end."""
         weather = self.weather
@@ -362,7 +413,9 @@
         elif fault.kind == "list":
             weather.late_until = self.clock.now + fault.lasts
         elif fault.kind == "cut":
-            weather.cut.add(fault.zone)
+            weather.cut.add(self.struck(fault))
+        elif fault.kind == "crowded":
+            self.counter.slowed = fault.factor
         else:
             weather.lost = fault.part
         self.clock.later(fault.lasts, partial(self.clear_up, fault))
@@ -370,8 +423,12 @@
     def clear_up(self, fault: Fault) -> None:
         if fault.kind == "counter":
             self.counter.down = False
+            if fault.empty:
+                self.counter.lose_all()
+        elif fault.kind == "crowded":
+            self.counter.slowed = 1.0
         elif fault.kind == "cut":
-            self.weather.cut.discard(fault.zone)
+            self.weather.cut.discard(self.struck(fault))
         elif fault.kind == "lost":
             self.weather.lost = 0.0
 
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -4,9 +4,9 @@
 
 import json
 import pathlib
+import random
 import subprocess
 import sys
-import tomllib
 from functools import partial
 from typing import Any
 
@@ -18,9 +18,11 @@
 from embersill.lab.clock import Clock
 from embersill.lab.counter import CounterService
 from embersill.lab.machine import Condition, Job, Machine
+from embersill.lab.network import Way, Weather
+from embersill.lab.node import Node
 from embersill.lab.rules import Rules
 from embersill.lab.scenario import (
-    BackendForm, BadScenario, Class, Counter, PlanForm, build_scenario, load,
+    BackendForm, BadScenario, Class, Counter, Net, PlanForm, build_scenario, load,
 )
 from embersill.lab.world import World
 from tests.helpers import backend
@@ -28,7 +30,7 @@
 
 
 def small(name: str = "calm", **more: Any) -> dict[str, Any]:
-    told = tomllib.loads((SHIPPED / f"{name}.toml").read_text())
+    told = load(SHIPPED / f"{name}.toml")
     told["fleet"].update(gateways=6, backends=8)
     return told | {"seconds": 15} | more
 
@@ -143,6 +145,10 @@
     ({"faults": [{"kind": "slow", "of": "gateways", "at": 1, "lasts": 1}]}, "gateways can't have 'slow'"),
     ({"faults": [{"kind": "cut", "at": 1, "lasts": 1}]}, "names a zone"),
     ({"faults": [{"kind": "kill", "zone": "x", "at": 1, "lasts": 1}]}, "no zone 'x'"),
+    ({"faults": [{"kind": "kill", "region": "x", "at": 1, "lasts": 1}]}, "no region 'x'"),
+    ({"faults": [{"kind": "clock", "at": 1, "lasts": 1}]}, "backends can't have 'clock'"),
+    ({"pool": {"opening": 0}}, r"opening is no whole number.*\$.pool"),
+    ({"fleet": {"gateways": 1, "backends": 1, "regions": {"x": "y"}}}, r"no zone 'x'.*regions"),
 ])
 def test_a_scenario_out_of_form_is_told_with_its_place(change: dict[str, Any], why: str) -> None:
     with pytest.raises(BadScenario, match=why):
@@ -175,6 +181,20 @@
     assert other["requests"] != first["requests"]
 
 
+def test_a_file_is_like_another_and_never_like_itself(tmp_path: pathlib.Path) -> None:
+    (tmp_path / "one.toml").write_text((SHIPPED / "calm.toml").read_text())
+    (tmp_path / "two.toml").write_text('name = "two"\nlike = "one"\n[fleet]\ngateways = 7\n')
+    (tmp_path / "three.toml").write_text('name = "three"\nlike = "two"\nseconds = 9\n')
+    one, three = load(tmp_path / "one.toml"), load(tmp_path / "three.toml")
+    assert three == one | {"name": "three", "seconds": 9, "fleet": one["fleet"] | {"gateways": 7}}
+    (tmp_path / "one.toml").write_text('like = "three"\n')
+    with pytest.raises(BadScenario, match="like itself"):
+        load(tmp_path / "three.toml")
+    with pytest.raises(BadScenario, match="none.toml"):
+        (tmp_path / "two.toml").write_text('like = "none"\n')
+        load(tmp_path / "two.toml")
+
+
 def test_faults_cost_what_a_calm_day_has() -> None:
     calm = played(small())
     hang = played(small(faults=[{"kind": "hang", "at": 3.0, "lasts": 10.0, "part": 0.5}]))
@@ -182,6 +202,85 @@
     assert hang["served"] < calm["served"] - 0.05 and hang["requests"] == calm["requests"]  # the same clients
     assert hang["attempts"]["timed out"] > 5 * calm["attempts"].get("timed out", 0)
     assert silent["counter"]["timed out"] > calm["counter"].get("timed out", 0)
+    crowded = played(small(faults=[{"kind": "crowded", "at": 3.0, "lasts": 12.0, "factor": 40.0}]))
+    assert crowded["counter"]["timed out"] > 2 * calm["counter"].get("timed out", 0)
+    scan = played(small(faults=[{"kind": "scan", "at": 3.0, "lasts": 10.0, "part": 0.4}]))
+    more = scan["requests"] - calm["requests"]
+    assert 0.2 * calm["requests"] < more < 0.35 * calm["requests"]  # four tenths for two thirds of the time
+    left = played(small(load={"impatient": 0.5, "patience": 0.1}))
+    assert left["ends"]["left"] > 0.2 * left["requests"] and not left["breaches"]
+
+
+def test_an_emptied_counter_and_a_clock_that_is_off_let_quotas_be_passed() -> None:
+    heavy = small(seconds=25)
+    for plan in heavy["plans"]:
+        plan.update(heavy=1.0, use=3.0)
+    calm = played(heavy)
+    clocks = [{"kind": "clock", "of": "gateways", "at": 2.0, "lasts": 20.0, "part": 1.0, "step": 3.3},
+              {"kind": "kill", "of": "gateways", "at": 3.0, "lasts": 0.5, "part": 0.5}]
+    off = played(heavy | {"faults": clocks})
+    assert off["overrun"] > calm["overrun"]  # half of the gateways read other seconds than the rest
+    empty = {"kind": "counter", "at": 5.0, "lasts": 3.0, "empty": True}
+    lost, kept = (played(heavy | {"faults": [empty | {"empty": value}]}) for value in (True, False))
+    assert lost != kept  # what the counts of before the fault still told is gone
+
+
+def test_regions_are_far_apart_and_a_cut_leaves_both_sides_alive() -> None:
+    dice, weather, net = random.Random(1), Weather(), Net(same=0.001, cross=0.002, far=0.03, jitter=0.0)
+    regions = {"a": "east", "b": "east", "c": "west", "d": "west"}
+    way = Way(net, "a", dice, weather, regions)
+    places = [Machine(Clock(), BackendForm(), zone, zone, 0, 1.0, 1.0) for zone in "abcd"]
+    assert [way.delay(place) for place in places] == [0.001, 0.002, 0.03, 0.03]
+    assert Way(net, "a", dice, weather).delay(places[3]) == 0.002  # all in one
+    weather.cut.add(frozenset("cd"))
+    assert [way.passes(zone) for zone in "abcd"] == [True, True, False, False]
+    other = Way(net, "c", dice, weather, regions)
+    assert [other.passes(zone) for zone in "abcd"] == [False, False, True, True]
+    weather.cut.add(frozenset("b"))
+    assert [way.passes(zone) for zone in "abcd"] == [True, False, False, False]
+
+
+def test_a_killed_gateway_opens_nothing_more() -> None:
+    # the end of its connections let the pool open others, for attempts that waited at its death
+    told = small(faults=[{"kind": "kill", "of": "gateways", "at": 5.0, "lasts": 100.0, "part": 1.0}])
+    told["backend"] = {"connections": 1}
+    world = World(build_scenario(told), 1)
+    world.begin()
+    clock = world.clock
+    assert isinstance(clock, Clock)
+    clock.run(world.origin + 4.999)
+    nodes = [node for node in world.nodes if isinstance(node, Node)]
+    assert any(place.waiting for node in nodes for place in node.pool.places.values())
+    clock.run(world.origin + 5.001)
+    opened = sum(node.wired for node in nodes)
+    clock.run(world.origin + 10.0)
+    assert sum(node.wired for node in nodes) == opened and not any(node.pool.links for node in nodes)
+
+
+def test_memory_stays_bounded_over_a_long_day() -> None:
+    told = small(seconds=7200, load={"inside": 0.02})
+    told["fleet"].update(gateways=2, backends=2)
+    world = World(build_scenario(told), 1)
+    world.begin()
+    clock, sizes = world.clock, list[tuple[int, ...]]()
+    assert isinstance(clock, Clock)
+    for hour in (1, 2):
+        clock.run(world.origin + 3600.0 * hour)
+        nodes = [node for node in world.nodes if isinstance(node, Node)]
+        sizes.append((len(clock.queue), len(world.rules.open), len(world.counter.totals),
+                      sum(len(node.calls) + len(node.pool.links) for node in nodes)))
+    assert all(after <= 2 * before + 50 for before, after in zip(*sizes, strict=True)), sizes
+
+
+def test_a_thousand_gateways_among_a_thousand_backends() -> None:
+    told = small(seconds=0.5)
+    told["fleet"].update(gateways=1000, backends=1000)
+    told["load"] = {"inside": 0.05, "retries": 0}
+    for klass in told["classes"]:
+        klass.update(aim=0.5, deadline=1.0, work=0.1)
+    found = played(told)
+    assert found["requests"] > 200 and sum(found["ends"].values()) == found["requests"]
+    assert not found["breaches"] and found["ends"]["in time"] > 0.3 * found["requests"]
 
 
 def lab(*words: str) -> subprocess.CompletedProcess[str]:
