--- a/embersill/lab/world.py
+++ b/embersill/lab/world.py
@@ -104,7 +104,7 @@
     return replace(read_settings(told_settings(scenario, me, zone)), pool=pool_settings(scenario))
 
 
-class Gatewaylike(Protocol):
+class GatewayProcess(Protocol):
     """A process of a gateway, the model's or a real one."""
 
     name: str
@@ -150,7 +150,7 @@
         self.weights = {w: gateway_weights(w, scenario.load.skew) for w in {c.width for c in self.customers}}
         self.arrivals = arrivals(scenario, self.customers, self.load)
         self.result = Result()
-        self.old: list[Gatewaylike] = []
+        self.old: list[GatewayProcess] = []
         self.over_time: list[list[float]] = []
         self.sampled = (0, 0)
         self.strangers = 0
@@ -169,7 +169,7 @@
 
     # gateways
 
-    def start(self, me: int) -> Gatewaylike:
+    def start(self, me: int) -> GatewayProcess:
         scenario = self.scenario
         zone = scenario.fleet.zones[me % len(scenario.fleet.zones)]
         seed, name = self.seeds[me] + self.starts[me], f"n{me}.{self.starts[me]}"
@@ -179,7 +179,7 @@
         node.hear(BackendList(ListKind.WHOLE, tuple(self.entry(m) for m in self.machines.values())))
         return node
 
-    def make_node(self, me: int, name: str, seed: int, way: Way) -> Gatewaylike:
+    def make_node(self, me: int, name: str, seed: int, way: Way) -> GatewayProcess:
         scenario = self.scenario
         return Node(name, self.clock, settings_for(scenario, me, way.zone), seed, way, self.machines,
                     self.counter, self.rules, MOST_LINKS, scenario.net.dial_timeout, scenario.net.keepalive,
@@ -286,7 +286,7 @@
         budget = asked.left(now)
         self.clock.later(node.way.client(), lambda: self.reach(asked, node, now + budget))
 
-    def reach(self, asked: Try, node: Gatewaylike, deadline: float) -> None:
+    def reach(self, asked: Try, node: GatewayProcess, deadline: float) -> None:
         if not node.alive:
             return self.hear(asked, Outcome.NO_CONNECTION, 0.0)
         now, customer = self.clock.now, asked.customer
@@ -308,7 +308,7 @@
             self.clock.later(patience, lambda: self.turn_away(asked, node, number))
         return None
 
-    def turn_away(self, asked: Try, node: Gatewaylike, number: int) -> None:
+    def turn_away(self, asked: Try, node: GatewayProcess, number: int) -> None:
         """Its client does not wait any longer, unless it has its answer."""
         if not asked.done:
             self.end(asked, "left")
