--- a/embersill/lab/world.py
+++ b/embersill/lab/world.py
@@ -305,10 +305,10 @@
         load = self.scenario.load
         if load.impatient > 0.0 and self.habit.random() < load.impatient:
             patience = float(self.habit.exponential(load.patience))
-            self.clock.later(patience, lambda: self.turn_away(asked, node, number))
+            self.clock.later(patience, lambda: self.lose_patience(asked, node, number))
         return None
 
-    def turn_away(self, asked: Try, node: GatewayProcess, number: int) -> None:
+    def lose_patience(self, asked: Try, node: GatewayProcess, number: int) -> None:
         """Its client does not wait any longer, unless it has its answer."""
         if not asked.done:
             self.end(asked, "left")
