End a torn line of the laboratory's book once, at its reading, not at each play

Read again: each play that was kept read the whole book to see how it ends. Behaviour stays; the tests of torn and stopped experiments pass.

--- a/embersill/lab/plays.py
+++ b/embersill/lab/plays.py
@@ -91,10 +91,12 @@
     def __init__(self, folder: pathlib.Path | None = None) -> None:
         self.path = None if folder is None else folder / BOOK
         self.kept: dict[str, Report] = {}
-        if folder is not None and self.path is not None:
-            folder.mkdir(parents=True, exist_ok=True)
-            if self.path.exists():
-                self.kept = dict(self.read(self.path.read_bytes()))
+        if self.path is not None:
+            self.path.parent.mkdir(parents=True, exist_ok=True)
+            text = self.path.read_bytes() if self.path.exists() else b""
+            self.kept = dict(self.read(text))
+            if text and not text.endswith(b"\n"):
+                self.append(b"")  # ends the torn line
 
     @staticmethod
     def read(text: bytes) -> Iterator[tuple[str, Report]]:
@@ -107,10 +109,12 @@
 
     def add(self, key: str, report: Report) -> None:
         self.kept[key] = report
+        self.append(json.dumps([key, report]).encode())
+
+    def append(self, line: bytes) -> None:
         if self.path is not None:
             with self.path.open("ab") as file:
-                torn = file.tell() > 0 and self.path.read_bytes()[-1:] != b"\n"
-                file.write(b"\n" * torn + json.dumps([key, report]).encode() + b"\n")
+                file.write(line + b"\n")
 
 
 def run_all(
