Break a silent watch in time for its news, and ask again at once

Gateway n10, by a probe: watch asked at 0.559 with a wait of 10 s, silent; its news counted as told at 12.56; first byte to s-, which drains, at 13.464; "discovery fails, the list stays as it was: TimeoutError" only at 15.560, and no call after it.

Cause: Discovery.call gave a watch 5 s past its wait, and Discovery.run took the time-out for a want of room and waited a turn of 20 s (200 gateways).

Change: a watch is silent half a second past its wait; a call follows at once. Turns are for calls turned away. Waits are drawn between 5 and 10 s, so that a fleet does not come again in step. Where lists are pushed, pauses stay under the grace for drains. SIGHUP ends pauses and dials. The log counts calls to discovery.

--- a/embersill/__main__.py
+++ b/embersill/__main__.py
@@ -149,7 +149,8 @@
         version = told.known.generation if told.known.entries else None
         self.discovery = Discovery(
             told.discovery, told.limits.dial_timeout, self.driver.list_told, version, told.seed,
-            told.settings.gateways)
+            told.settings.gateways, told.limits.grace if told.settings.list_pushed else None)
+        self.driver.list_figures = self.discovery.figures
         if len(told.discovery) > 1:
             self.driver.list_age = self.discovery.age
         room = max(told.memory_mb * MB - BASE_MEMORY, 0) * BODIES_PART / (2 * clients)
--- a/embersill/net/discovery.py
+++ b/embersill/net/discovery.py
@@ -2,6 +2,10 @@
 
 Where several addresses are told, they are one list: the first is its leader's, and the others take over while
 that is away. A list older than the one at hand is not taken from a copy, as what was told must be obeyed.
+
+What a watch that fell silent has missed counts as told 2 s after its wait is over, whether it arrived or not.
+So a watch without an answer just past its wait is broken, and a call made at once. Discovery that turns calls
+away is not silent: it lacks room, and all gateways take turns.
 """
 
 from __future__ import annotations
@@ -10,6 +14,7 @@
 import json
 import logging
 import random
+from collections import Counter as Tally
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Any, cast
@@ -19,11 +24,21 @@
 from embersill.interface import Backend, ListKind, Status
 from embersill.settings import STATUSES
 
-WATCH_MS = 10000  # a watch's wait: many gateways pay jointly for the calls
+WATCH_MS = 10000  # a watch's wait, at the most: many gateways pay jointly for the calls
+WATCH_PART = 0.5  # of it that a watch waits at the least, drawn anew for each: a change ends all watches of
+# a fleet together, and those that fall silent together must not come again in step
 AT_ONCE_MS = 1  # the wait of the first call: what has changed since the remembered list, if anything has
-ANSWER_WITHIN = 5.0  # seconds past the wait that an answer may take: a call given up too soon is made in vain
-FIRST_BACK_OFF, MOST_BACK_OFF = 0.05, 4.0  # seconds before a failed call is made again: doubled each time
-CROWDED = 0.5  # the first of them where discovery says or shows that it has no room
+OVERDUE = 0.5  # seconds past a watch's wait from which it is silent: in the 1.5 that are left there is time
+# for two more calls, should the next be silent too
+SOON = 3  # calls after a silent watch that are given no longer than that; each one after them, twice as long
+SOON_PUSHED = 16  # the same where lists are pushed: an agent answers at once, and in an outage of some ten s
+# no two calls are further apart than the grace
+ANSWER_WITHIN = 5.0  # seconds that any other call's answer may take: given up too soon, it is made in vain
+FIRST_BACK_OFF, MOST_BACK_OFF = 0.05, 4.0  # seconds before a failed call is made again: doubled each time.
+# The most, with its jitter, is the 6 s after which all that discovery has to tell counts as told
+BACK_OFF_PART = 0.25  # of the grace for drains that it is at the most where lists are pushed: what the agent
+# has counts as told there, and the call must be made and answered within the grace
+CROWDED = 0.5  # the first of them where discovery says that it has no room
 CALLS = 10.0  # calls a second of all gateways together: in the time that this makes for all, each takes
 # a turn at random after a call without room; the first is made at once, as news count as told from then on
 FEW = 8  # gateways, up to which they need not
@@ -174,8 +189,9 @@
 
     def __init__(
         self, addresses: Sequence[Address], dial_timeout: float, told: Callable[[Listing], None],
-        known: int | None = None, seed: int = 0, gateways: int = 1,
+        known: int | None = None, seed: int = 0, gateways: int = 1, grace: float | None = None,
     ) -> None:
+        """`grace`: seconds that sends to a draining backend may go on, where lists are pushed."""
         self.addresses, self.dial_timeout, self.told = tuple(addresses), dial_timeout, told
         self.place = 0  # of the address in use
         self.heard = asyncio.Event()  # set once discovery has answered at all
@@ -186,6 +202,15 @@
         self.current_at = self.loop.time()  # when the list was as new as its leader's, for all that is known
         self.random = random.Random(seed)
         self.failing = False
+        self.unanswered = 0  # calls in a row, the last ones made, that got no answer in time
+        self.back_off, self.most_back_off = FIRST_BACK_OFF, MOST_BACK_OFF
+        self.soon = SOON
+        if grace is not None:
+            self.soon = SOON_PUSHED
+            self.most_back_off = min(max(BACK_OFF_PART * grace, FIRST_BACK_OFF), MOST_BACK_OFF)
+        self.dialling: asyncio.Timeout | None = None  # of a call whose connection comes up
+        self.moved = asyncio.Event()  # there are other addresses: no pause holds any more
+        self.figures: Tally[str] = Tally()
         self.turns = gateways / CALLS if gateways > FEW else 0.0  # seconds in which all gateways have a turn
         self.take_over = gateways / TAKEN_OVER  # the same, where another address is ready for them
         self.return_after, self.return_at = RETURN_AFTER, 0.0
@@ -199,26 +224,17 @@
         return self.loop.time() - self.current_at
 
     async def run(self) -> None:
-        back_off = FIRST_BACK_OFF
         while True:
+            self.moved.clear()
             try:
                 listing = await self.call()
             except (OSError, TimeoutError, BadList, NoRoom, Behind, ValueError) as error:
-                if not self.failing:  # the first of them: discovery may be away for long
-                    log.info("discovery fails, the list stays as it was: %s %s", type(error).__name__, error)
-                self.failing = True
-                self.drop()
-                if isinstance(error, BadList | ValueError):
-                    self.generation = None  # a watch from this version would be refused again and again
-                if isinstance(error, NoRoom | TimeoutError):
-                    back_off = max(back_off, CROWDED, self.turns)
-                elif len(self.addresses) > 1:
-                    back_off = max(back_off, self.take_over)
-                self.turn_to_next()
-                await asyncio.sleep(back_off * self.jitter())
-                back_off = min(2 * back_off, max(MOST_BACK_OFF, 2 * self.turns))
+                if not self.moved.is_set():
+                    await self.pause(self.failed(error))
                 continue
-            back_off = FIRST_BACK_OFF
+            if self.moved.is_set():
+                continue  # it came from where discovery was
+            self.back_off, self.unanswered = FIRST_BACK_OFF, 0
             if self.failing:
                 log.info("discovery answers again")
             self.failing = False
@@ -230,6 +246,36 @@
             if self.place and self.loop.time() >= self.return_at:
                 await self.return_to_first()
 
+    def failed(self, error: Exception) -> float:
+        """Takes in how a call failed; the seconds until the next, which may go to another address."""
+        if not self.failing:  # the first of them: discovery may be away for long
+            log.info("discovery fails, the list stays as it was: %s %s", type(error).__name__, error)
+        self.failing = True
+        self.drop()
+        silent, full = isinstance(error, TimeoutError), isinstance(error, NoRoom)
+        self.figures["list silent" if silent else "list no room" if full else "list failed"] += 1
+        self.unanswered = self.unanswered + 1 if silent else 0
+        if isinstance(error, BadList | ValueError):
+            self.generation = None  # a watch from this version would be refused again and again
+        most = max(MOST_BACK_OFF, 2 * self.turns) if full else self.most_back_off
+        pause = min(self.back_off, most)
+        if full:
+            pause = max(pause, CROWDED, self.turns)
+        elif len(self.addresses) > 1 and not silent:
+            pause = max(pause, self.take_over)
+        if self.unanswered != 1:  # a watch alone may have fallen silent, and not the address
+            self.turn_to_next()
+        self.back_off = min(2 * pause, most)
+        return pause * self.jitter()
+
+    async def pause(self, seconds: float) -> None:
+        """Waits, but for no address that is no more."""
+        try:
+            async with asyncio.timeout(seconds):
+                await self.moved.wait()
+        except TimeoutError:
+            pass
+
     def jitter(self) -> float:
         return 1.0 + JITTER * (2.0 * self.random.random() - 1.0)
 
@@ -237,12 +283,19 @@
         if self.generation is None:
             target, wait = "/v1/endpoints", 0.0
         else:
-            wait_ms = WATCH_MS if self.heard.is_set() and not self.failing else AT_ONCE_MS
+            watches = self.heard.is_set() and not self.failing
+            wait_ms = round(WATCH_MS * self.random.uniform(WATCH_PART, 1.0)) if watches else AT_ONCE_MS
             target = f"/v1/endpoints?since={self.generation}&timeout_ms={wait_ms}"
             wait = wait_ms / 1000.0
-        connection = self.connection or await self.connect(self.address)
-        self.connection = connection
-        async with asyncio.timeout(wait + ANSWER_WITHIN):
+        self.figures["list asked"] += 1
+        async with asyncio.timeout(wait + self.patience(wait)) as limit:
+            if self.connection is None:
+                self.dialling = limit
+                try:
+                    self.connection = await self.connect(self.address)
+                finally:
+                    self.dialling = None
+            connection = self.connection
             body = await connection.ask(target, f"{self.address[0]}:{self.address[1]}")
         if not connection.keep:
             self.drop()
@@ -253,6 +306,12 @@
         self.current_at = self.loop.time() - connection.lag
         return listing
 
+    def patience(self, wait: float) -> float:
+        """Seconds past its wait that a call's answer may take."""
+        if self.unanswered:
+            return min(OVERDUE * 2.0 ** max(0, self.unanswered - self.soon), ANSWER_WITHIN)
+        return OVERDUE if wait > AT_ONCE_MS / 1000.0 else ANSWER_WITHIN
+
     async def connect(self, address: Address) -> DiscoveryConnection:
         async with asyncio.timeout(self.dial_timeout):
             _, connection = await self.loop.create_connection(DiscoveryConnection, *address)
@@ -285,6 +344,10 @@
         if tuple(addresses) != self.addresses:
             self.addresses, self.place = tuple(addresses), 0
             self.generation, self.newest = None, 0
+            self.back_off, self.unanswered = FIRST_BACK_OFF, 0
+            self.moved.set()
+            if self.dialling is not None:
+                self.dialling.reschedule(self.loop.time())
             self.drop()
 
     def drop(self) -> None:
--- a/embersill/net/driver.py
+++ b/embersill/net/driver.py
@@ -97,6 +97,7 @@
         self.events: deque[tuple[Event, float]] = deque()
         self.handling = False
         self.figures = Figures(gateway.classes)
+        self.list_figures: Tally[str] = Tally()
         self.list_age: Callable[[], float] | None = None  # told where the list has several addresses
         self.reporter = self.loop.call_later(REPORT_EVERY, self.report)
         self.carry: dict[type, Callable[..., None]] = {
@@ -313,7 +314,7 @@
         """One line of figures for the operator: what ended since the last one, how, and what is open."""
         self.reporter = self.loop.call_later(REPORT_EVERY, self.report)
         given_up = Tally({f"gave up {why}": n for why, n in self.gateway.given_up.items()})
-        text = self.figures.since(given_up, self.pool.figures)
+        text = self.figures.since(given_up, self.pool.figures + self.list_figures)
         if text:
             listed, down = len(self.gateway.servers), self.gateway.down()
             age = f", list {self.list_age():.0f} s old" if self.list_age else ""
--- a/embersill/settings.py
+++ b/embersill/settings.py
@@ -70,12 +70,16 @@
     )
 
 
+GRACE_MS = 1000.0  # for drains, where the rules name none: the protocol's own
+
+
 @dataclass(frozen=True, slots=True)
 class Limits:
     """What the settings say of connections: the sockets need it, the decisions don't."""
 
     dial_timeout: float
     keepalive: float
+    grace: float  # after a drain was told, in which sends must cease
 
 
 def read_limits(env: dict[str, Any]) -> Limits:
@@ -83,7 +87,8 @@
     dial, keep = float(take(limits, "dial_timeout")), float(take(limits, "keepalive"))
     if dial <= 0 or keep <= 0:
         raise ValueError("settings: dial_timeout and keepalive must be above nought")
-    return Limits(dial / 1000.0, keep / 1000.0)
+    grace = float(take(env, "rules").get("stop_sending_within", GRACE_MS))
+    return Limits(dial / 1000.0, keep / 1000.0, grace / 1000.0)
 
 
 # of each number in `pool`, the least and the most that makes sense; those of whole numbers are whole
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -114,12 +114,12 @@
     async def test() -> None:
         pauses: list[float] = []
 
-        async def sleep(seconds: float) -> None:
+        async def pause(discovery: Discovery, seconds: float) -> None:
             pauses.append(seconds)
             if len(pauses) % 8 == 0:
                 raise asyncio.CancelledError
 
-        monkeypatch.setattr("embersill.net.discovery.asyncio.sleep", sleep)
+        monkeypatch.setattr(Discovery, "pause", pause)
         for seed in (1, 2):
             discovery = Discovery([("127.0.0.1", 9)], 5.0, lambda listing: None, 1, seed)
 
@@ -146,8 +146,8 @@
     pauses: list[float] = []
     forty = True
 
-    async def sleep(pause: float) -> None:
-        pauses.append(pause)
+    async def pause(discovery: Discovery, seconds: float) -> None:
+        pauses.append(seconds)
         raise asyncio.CancelledError
 
     async def no_room() -> Listing:
@@ -165,7 +165,7 @@
         asyncio.run(test())
         return list(pauses)
 
-    monkeypatch.setattr(asyncio, "sleep", sleep)
+    monkeypatch.setattr(Discovery, "pause", pause)
     again = [first_pauses(seed)[0] for seed in range(40)]
     assert most_in_a_second(again) <= 16
     forty = False  # a few gateways need not wait
@@ -319,6 +319,7 @@
 def test_an_answer_that_never_ends_is_given_up(monkeypatch: pytest.MonkeyPatch) -> None:
     async def test() -> None:
         monkeypatch.setattr("embersill.net.discovery.ANSWER_WITHIN", 0.05)
+        monkeypatch.setattr("embersill.net.discovery.OVERDUE", 0.05)
         monkeypatch.setattr("embersill.net.discovery.WATCH_MS", 1)
         monkeypatch.setattr("embersill.net.discovery.CROWDED", 0.01)
         monkeypatch.setattr("embersill.net.discovery.MOST_LIST", 4096)
@@ -361,8 +362,8 @@
 def test_two_hundred_gateways_do_not_turn_together(monkeypatch: pytest.MonkeyPatch) -> None:
     pauses: list[float] = []
 
-    async def sleep(pause: float) -> None:
-        pauses.append(pause)
+    async def pause(discovery: Discovery, seconds: float) -> None:
+        pauses.append(seconds)
         raise asyncio.CancelledError
 
     async def broken() -> Listing:
@@ -374,7 +375,7 @@
         with pytest.raises(asyncio.CancelledError):
             await discovery.run()
 
-    monkeypatch.setattr(asyncio, "sleep", sleep)
+    monkeypatch.setattr(Discovery, "pause", pause)
     for seed in range(200):
         asyncio.run(one(seed))
     assert most_in_a_second(pauses) <= 130 and max(pauses) <= 3.0
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -174,7 +174,8 @@
                 bed.program.driver.report()  # nothing since: no line
             lines = [re.sub(r"pool waited ms \d+, ", "", line) for line in caplog.messages]
             assert lines == [
-                "attempt served 1, busy 2, gave up over quota 2, pool opened 1, pool waited 1, success 1;"
+                "attempt served 1, busy 2, gave up over quota 2, list asked 2, pool opened 1, pool waited 1,"
+                " success 1;"
                 " open 0, connections 1, idle 1, listed 1, down 0"]
 
     run(test)
--- /dev/null
+++ b/tests/test_silence.py
@@ -0,0 +1,270 @@
+"""No list is known later than the pages allow: watches that fall silent, discovery down, resets, SIGHUP.
+
+On a day of the bench 4,077 requests went to backends whose drain counted as told: a silent watch was given up
+5 s past its wait, and each of 186 gateways then waited for 9 to 28 s more.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import re
+
+import pytest
+
+from embersill.interface import Status
+from embersill.net.discovery import NoRoom
+from tests.virtual import AGENT, WIRE, Agent, Follower, VirtualLoop, entry, play
+
+PAST_WAIT = 2.0  # seconds past its wait after which what a silent watch missed counts as told, by PROTOCOL
+SILENCE = 6.0  # seconds after a silence for the same, if that is later
+GRACE = 1.0  # seconds for sends to a backend after it was told to drain
+OLD = ("old", 1)
+
+
+def waits(agent: Agent) -> list[tuple[float, float]]:
+    """When each call was asked, and its wait."""
+    found = [(at, re.search(r"timeout_ms=(\d+)", target)) for at, target in agent.asked]
+    return [(at, int(wait[1]) / 1000.0 if wait else 0.0) for at, wait in found]
+
+
+def counts_as_told(agent: Agent, silent: float) -> float:
+    """The moment for what the watch misses that was open when the silence began."""
+    asked, wait = [(at, wait) for at, wait in waits(agent) if at <= silent][-1]
+    return max(silent + SILENCE, asked + wait + PAST_WAIT)
+
+
+@pytest.mark.parametrize("gateways", [1, 40, 200, 1024])
+@pytest.mark.parametrize("pushed", [True, False])
+@pytest.mark.parametrize("after", [0.0, 0.5, 0.999])
+def test_what_a_silent_watch_missed_is_heard_before_it_counts_as_told(
+    after: float, pushed: bool, gateways: int
+) -> None:
+    async def test(loop: VirtualLoop) -> None:
+        agent = Agent(loop, entries={"a": entry("a")})
+        gateway = Follower(loop, gateways, gateways, GRACE if pushed else None)
+        await asyncio.sleep(1.0)
+        asked, wait = waits(agent)[-1]
+        await asyncio.sleep(asked + after * wait - loop.time() if after else 0.0)
+        agent.fall_silent()
+        told = counts_as_told(agent, loop.time())
+        agent.change(entry("a", "DRAINING"))
+        await asyncio.sleep(told - loop.time())
+        assert gateway.states == {"a": "draining"}
+
+    play(test)
+
+
+@pytest.mark.parametrize("calls", [1, 2])
+@pytest.mark.parametrize("gateways", [1, 200])
+def test_calls_that_are_silent_after_a_silent_watch_cost_no_more_than_the_grace(
+    gateways: int, calls: int
+) -> None:
+    async def test(loop: VirtualLoop) -> None:
+        agent = Agent(loop, entries={"a": entry("a")})
+        gateway = Follower(loop, 2, gateways, GRACE)
+        await asyncio.sleep(1.0)
+        agent.fall_silent()
+        told = counts_as_told(agent, loop.time())
+        agent.silent_calls = calls
+        agent.change(entry("a", "DRAINING"))
+        await asyncio.sleep(told + GRACE - loop.time())
+        assert gateway.states == {"a": "draining"}
+
+    play(test)
+
+
+def test_the_watch_after_a_silent_one_may_be_silent_too() -> None:
+    async def test(loop: VirtualLoop) -> None:
+        agent = Agent(loop, entries={"a": entry("a"), "b": entry("b")})
+        gateway = Follower(loop, 3, 200, GRACE)
+        for name in ("a", "b"):
+            await asyncio.sleep(1.0)
+            agent.fall_silent()
+            told = counts_as_told(agent, loop.time())
+            agent.change(entry(name, "DRAINING"))
+            await asyncio.sleep(told - loop.time())
+            assert gateway.states[name] == "draining"
+
+    play(test)
+
+
+def busiest(times: list[float]) -> int:
+    return max(sum(t <= other < t + 1.0 for other in times) for t in times)
+
+
+def test_a_fleet_whose_watches_fall_silent_together_does_not_come_again_in_step() -> None:
+    async def test(loop: VirtualLoop) -> None:
+        agent = Agent(loop, entries={"a": entry("a")})
+        fleet = [Follower(loop, seed, 200, GRACE) for seed in range(200)]
+        await asyncio.sleep(1.0)
+        agent.change()  # all watches end, and begin anew, in one moment
+        await asyncio.sleep(0.1)
+        before, begun = len(agent.asked), [at + wait for at, wait in waits(agent)[-200:]]
+        agent.fall_silent()
+        agent.change(entry("a", "DRAINING"))
+        await asyncio.sleep(13.0)
+        first = sorted(gateway.heard_at(agent.generation) for gateway in fleet)
+        assert all(at <= end + PAST_WAIT for at, end in zip(first, sorted(begun), strict=True))
+        assert busiest(first) <= 60  # 40 a second on average
+        again = [target for _, target in agent.asked[before:] if "timeout_ms=1" in target.split("&")]
+        assert len(again) == 200  # one call each, and then the next watch
+
+    play(test)
+
+
+def test_a_fleet_that_finds_no_room_after_a_silence_takes_turns() -> None:
+    """Ten calls a second don't do for 200 gateways in 7 s; but their calls must not keep it full."""
+    async def test(loop: VirtualLoop) -> None:
+        agent = Agent(loop, entries={"a": entry("a")})
+        fleet = [Follower(loop, seed, 200, None) for seed in range(200)]
+        await asyncio.sleep(1.0)
+        agent.fall_silent()
+        agent.room = 10
+        agent.change(entry("a", "DRAINING"))
+        before = len(agent.asked)
+        await asyncio.sleep(12.0)
+        assert len(agent.asked) - before <= 2.5 * 200  # a call after the silence, a watch, a turn for some
+        agent.room = 0
+        await asyncio.sleep(60.0)
+        assert all(gateway.states == {"a": "draining"} for gateway in fleet)
+
+    play(test)
+
+
+@pytest.mark.parametrize("forgets", [True, False])
+@pytest.mark.parametrize("gateways", [1, 200])
+@pytest.mark.parametrize("began", [0.5, 4.0, 8.0])
+@pytest.mark.parametrize("lasts", [0.5, 3.0, 8.0, 25.0])
+def test_news_at_discoverys_return_are_heard_within_the_grace(
+    lasts: float, began: float, gateways: int, forgets: bool
+) -> None:
+    """Where lists are pushed, what the agent gets at its return counts at once."""
+    async def test(loop: VirtualLoop) -> None:
+        agent = Agent(loop, entries={"a": entry("a")})
+        gateway = Follower(loop, 5, gateways, GRACE)
+        await asyncio.sleep(began)
+        agent.stop(forgets)
+        opened, wait = waits(agent)[-1]
+        await asyncio.sleep(lasts)
+        agent.go_on()
+        agent.change(entry("a", "DRAINING"))
+        told = loop.time()
+        if forgets:  # the watch that was open is broken, and what it misses has a clock of its own
+            told = max(told, opened + wait + PAST_WAIT)
+        await asyncio.sleep(told + GRACE - loop.time())
+        assert gateway.states == {"a": "draining"}
+
+    if forgets and lasts > 8.0:
+        return  # calls are held for longer then
+    play(test)
+
+
+@pytest.mark.parametrize(("pushed", "within"), [(True, GRACE), (False, SILENCE + GRACE)])
+def test_where_connections_are_refused_for_long_the_return_is_noticed_in_time(
+    pushed: bool, within: float
+) -> None:
+    async def test(loop: VirtualLoop) -> None:
+        agent = Agent(loop, entries={"a": entry("a")})
+        gateways = [Follower(loop, seed, 200, GRACE if pushed else None) for seed in range(20)]
+        await asyncio.sleep(1.0)
+        agent.refuses = True
+        agent.reset()
+        await asyncio.sleep(60.0)
+        agent.refuses = False
+        agent.change(entry("a", "DRAINING"))
+        await asyncio.sleep(within)
+        assert all(gateway.states == {"a": "draining"} for gateway in gateways)
+
+    play(test)
+
+
+@pytest.mark.parametrize("cut", [0, 40, 150])
+@pytest.mark.parametrize("gateways", [1, 200])
+def test_a_watch_that_is_reset_or_cut_in_the_middle_of_a_list_is_opened_anew(
+    gateways: int, cut: int
+) -> None:
+    async def test(loop: VirtualLoop) -> None:
+        agent = Agent(loop, entries={"a": entry("a")})
+        gateway = Follower(loop, 4, gateways, GRACE)
+        await asyncio.sleep(2.0)
+        link, = agent.links
+        agent.watches.clear()
+        agent.change(entry("a", "DRAINING"))
+        whole = b"HTTP/1.1 200 X\r\nContent-Length: 900\r\n\r\n" + agent.listing(1)
+        if cut:
+            link.deliver(whole[:cut])
+        link.abort()
+        await asyncio.sleep(GRACE / 2)
+        assert gateway.states == {"a": "draining"}
+
+    play(test)
+
+
+@pytest.mark.parametrize("way", ["silent", "down", "no room", "unreachable", "refused"])
+def test_after_sighup_the_list_at_the_new_address_is_asked_for_whatever_was_under_way(way: str) -> None:
+    async def test(loop: VirtualLoop) -> None:
+        old = Agent(loop, OLD, entries={"a": entry("a")})
+        new = Agent(loop, AGENT, generation=7, entries={"a": entry("a", "DRAINING")})
+        gateway = Follower(loop, 6, 200, GRACE, addresses=(OLD,))
+        await asyncio.sleep(1.0)
+        assert gateway.states == {} and not new.asked
+        if way in ("silent", "down"):
+            old.fall_silent()
+            old.down = way == "down"
+            await asyncio.sleep(12.0 if way == "down" else 1.0)
+        else:
+            old.room = 1 if way == "no room" else 0
+            old.unreachable, old.refuses = way == "unreachable", way == "refused"
+            old.asked += [(loop.time() + t / 10, "") for t in range(30)]  # others take what room there is
+            old.reset()
+            await asyncio.sleep(3.0)
+        gateway.discovery.move([AGENT])
+        await asyncio.sleep(0.2)
+        assert gateway.states == {"a": "draining"} and gateway.discovery.generation == 7
+        await asyncio.sleep(20.0)
+        assert new.asked[0][1] == "/v1/endpoints" and all(at < new.asked[0][0] for at, _ in old.asked)
+
+    play(test)
+
+
+def test_a_list_that_came_from_where_discovery_was_is_not_taken() -> None:
+    async def test(loop: VirtualLoop) -> None:
+        old = Agent(loop, OLD, generation=1, entries={"a": entry("a")})
+        new = Agent(loop, AGENT, generation=1, entries={"a": entry("a", "DRAINING")})
+        gateway = Follower(loop, addresses=(OLD,))
+        await asyncio.sleep(1.0)
+        link, = old.links
+        old.change(entry("a"))
+        await asyncio.sleep(WIRE / 2)
+        body = b'{"generation":9,"reset":true,"instances":[]}'
+        link.deliver(b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+        gateway.discovery.move([AGENT])  # before the task that waits for the answer goes on
+        await asyncio.sleep(0.2)
+        assert gateway.states == {"a": "draining"} and gateway.discovery.generation == new.generation
+        assert all(listing.generation != 9 for _, listing in gateway.told)
+
+    play(test)
+
+
+@pytest.mark.parametrize("how", ["change", "whole", "absent"])
+def test_a_restart_from_a_remembered_list_hears_of_a_drain_at_once(how: str) -> None:
+    async def test(loop: VirtualLoop) -> None:
+        agent = Agent(loop, entries={"a": entry("a"), "b": entry("b")})
+        agent.change(entry("a", "DELETED" if how == "absent" else "DRAINING"))
+        gateway = Follower(loop, gateways=200, known=1 if how == "change" else None)
+        await asyncio.sleep(10 * WIRE)
+        assert gateway.told[0][1].whole is (how != "change")
+        statuses = {e.backend.address: e.backend.status for e in gateway.told[0][1].entries}
+        assert statuses.get("a") is {"absent": None}.get(how, Status.DRAINING)
+
+    play(test)
+
+
+def test_no_room_is_no_silence() -> None:
+    async def test(loop: VirtualLoop) -> None:
+        Agent(loop)
+        one, other = Follower(loop, 1, 200).discovery, Follower(loop, 1, 200).discovery
+        assert 9.0 <= one.failed(NoRoom("status 503")) <= 31.0
+        assert other.failed(TimeoutError()) < 0.1 and other.patience(10.0) == 0.5
+
+    play(test)
