Tell the module of a list before ending what waits at leaving backends

Seen by reading and shown by the test: a list was taken in entry by entry. An attempt in line at the first leaving backend ended while the module still held the old list, and was sent to the next leaving one, and so on, until its attempts were used up: 429 in place of an answer, with thirteen of fourteen backends leaving in one list.

Driver.list_told now gives new addresses to the pool, the list to the module, and then ends what waits. Where a list names a backend twice, the last entry counts for pool and module alike.

--- a/embersill/net/driver.py
+++ b/embersill/net/driver.py
@@ -16,7 +16,7 @@
 
 from embersill.control import Gateway
 from embersill.interface import (
-    Action, Alone, AttemptEnded, Backend, BackendList, Cancel, ClientLeft, Count, Counted, Event, Fail,
+    Action, Alone, AttemptEnded, BackendList, Cancel, ClientLeft, Count, Counted, Event, Fail,
     HangUp, Inherit, OpenFailed, Outcome, PoolSettings, Refuse, Request, Restore, Send, SetTimer, Settle,
     Size, Status, StreamBegun, Suspend, TimerDue, Tuned, Uploaded, Warm,
 )
@@ -153,21 +153,17 @@
             self.post(ClientLeft(number))
 
     def list_told(self, listing: Listing) -> None:
-        backends: list[Backend] = []
-        for entry in listing.entries:
-            backend = entry.backend
-            backends.append(backend)
-            if backend.status is Status.SERVING:
-                self.pool.set_address(backend.address, entry.address, backend.started)
-                self.serving.add(backend.address)
-            else:
-                self.pool.retire(backend.address)
-                self.serving.discard(backend.address)
+        """Addresses first, then the module, then the ends: what waited there is sent on by the new list."""
+        named = {entry.backend.address: entry for entry in listing.entries}
+        serving = {a for a, entry in named.items() if entry.backend.status is Status.SERVING}
+        for address in serving:
+            self.pool.set_address(address, named[address].address, named[address].backend.started)
+        self.serving = serving if listing.whole else self.serving - named.keys() | serving
+        self.post(BackendList(listing.kind, tuple(entry.backend for entry in named.values())))
+        for address in named.keys() - serving:
+            self.pool.retire(address)
         if listing.whole:
-            named = {b.address for b in backends}
             self.pool.forget_others(named)
-            self.serving &= named
-        self.post(BackendList(listing.kind, tuple(backends)))
 
     def counter_told(self, counted: Counted) -> None:
         self.counting -= 1
