Let no bad list end the watch or allow what the last good list forbids

Found by tests with scripted answers: a deeply nested answer (RecursionError) and a version of 1e999 (OverflowError) ended the task that follows discovery, without a word in the log. A list of an older version was taken as it came, so that a backend known to drain served again. A weight of NaN reached the draw of backends. A head without an end grew unbounded.

Such lists are bad lists now, logged, and the whole list is asked for. An older one is set aside and the whole list asked for; if that is older too, discovery counts anew and is believed. Heads and framing count in the bound on an answer.

Eleven bad answers, a discovery that counts anew, and a list of 1,024 backends at a gateway of 1,024, indented too, are in tests/test_silence.py.

--- a/embersill/net/discovery.py
+++ b/embersill/net/discovery.py
@@ -17,6 +17,7 @@
 from collections import Counter as Tally
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
+from math import isfinite
 from typing import Any, cast
 
 import httptools
@@ -100,10 +101,13 @@
 def read_entry(entry: dict[str, Any]) -> Entry:
     started = float(entry.get("startedAtMs") or 0.0) / 1000.0
     status = STATUSES.get(str(entry["lifecycle"]), Status.DRAINING)  # unknown: no work
+    rating = float(entry.get("weight", 1.0))
+    if not (isfinite(started) and isfinite(rating)):
+        raise ValueError(f"no number: {entry['instanceId']} has weight {rating} and start {started}")
     backend = Backend(
         address=str(entry["instanceId"]), zone=str(entry.get("zone", "")),
         kind=str(entry.get("machineType", "")), cell=int(entry.get("cell", 0)), status=status,
-        rating=float(entry.get("weight", 1.0)), started=started or None,
+        rating=rating, started=started or None,
     )
     host_port = entry.get("hostPort")
     gone = status is not Status.SERVING and not host_port  # nothing is dialled there any more
@@ -119,7 +123,15 @@
             log.warning("%d entries in an unknown state are set aside: %s", len(odd), " ".join(odd[:5]))
         told = kind or (ListKind.WHOLE if loaded["reset"] else ListKind.CHANGES)
         return Listing(told, int(loaded["generation"]), entries)
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
+        raise BadList(f"{type(error).__name__}: {error}") from error
+
+
+def parse_listing(body: bytes) -> Listing:
+    """What discovery answered; BadList says what is wrong with it."""
+    try:
+        return read_listing(json.loads(body))
+    except (ValueError, RecursionError) as error:
         raise BadList(f"{type(error).__name__}: {error}") from error
 
 
@@ -131,6 +143,7 @@
         self.answer: asyncio.Future[bytes] | None = None
         self.parser = httptools.HttpResponseParser(self)
         self.body = bytearray()
+        self.size = 0  # bytes of the answer, its head and framing included
         self.keep = False
         self.leads, self.lag = False, 0.0  # as the answer's headers say, where it has such
 
@@ -140,6 +153,7 @@
     def ask(self, target: str, host: str) -> asyncio.Future[bytes]:
         assert self.transport is not None
         self.body.clear()
+        self.size = 0
         self.leads, self.lag = False, 0.0
         self.answer = asyncio.get_running_loop().create_future()
         self.transport.write(f"GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
@@ -177,7 +191,8 @@
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self.fail(BadList(str(error)))
-        if len(self.body) > MOST_LIST:
+        self.size += len(data)
+        if self.size > MOST_LIST:
             self.fail(BadList("an oversized list"))
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -198,6 +213,7 @@
         self.connection: DiscoveryConnection | None = None
         self.generation = known  # the version that the next call names, if any
         self.newest = known or 0  # the version of the list that the gateway has
+        self.counts_anew = False  # the last answer's was older than that
         self.loop = asyncio.get_running_loop()
         self.current_at = self.loop.time()  # when the list was as new as its leader's, for all that is known
         self.random = random.Random(seed)
@@ -238,14 +254,27 @@
             if self.failing:
                 log.info("discovery answers again")
             self.failing = False
-            older = not listing.whole and listing.generation < (self.generation or 0)
-            self.generation = None if older else listing.generation  # one that counts anew, or lost its list
-            self.newest = listing.generation
+            if self.is_older(listing):
+                continue
+            self.generation = self.newest = listing.generation
             self.told(listing)
             self.heard.set()
             if self.place and self.loop.time() >= self.return_at:
                 await self.return_to_first()
 
+    def is_older(self, listing: Listing) -> bool:
+        """True for a list older than the one at hand, which is set aside and the whole one asked for.
+
+        Where that is older too, discovery counts anew or has lost its list: it is believed.
+        """
+        older = listing.generation < self.newest
+        if older and not (self.counts_anew and listing.whole):
+            log.warning("a list of version %d, older than %d, is set aside", listing.generation, self.newest)
+            self.generation, self.counts_anew = None, True
+            return True
+        self.counts_anew = False
+        return False
+
     def failed(self, error: Exception) -> float:
         """Takes in how a call failed; the seconds until the next, which may go to another address."""
         if not self.failing:  # the first of them: discovery may be away for long
@@ -299,7 +328,7 @@
             body = await connection.ask(target, f"{self.address[0]}:{self.address[1]}")
         if not connection.keep:
             self.drop()
-        listing = read_listing(json.loads(body))
+        listing = parse_listing(body)
         if len(self.addresses) > 1 and listing.generation < self.newest and not connection.leads:
             where = f"{self.address[0]}:{self.address[1]}"
             raise Behind(f"{where} is at {listing.generation}, the list at {self.newest}")
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -260,6 +260,86 @@
     play(test)
 
 
+ANSWERS = {
+    "cut short": b'{"generation":9,"reset":true,"instances":[{"instanceId":"a","lifecyc',
+    "not JSON": b"<html>busy</html>",
+    "not text": b'{"generation":9,"reset":true,"instances":[{"instanceId":"\xff\xfe"}]}',
+    "nested": b"[" * 100_000,
+    "no version": b'{"generation":1e999,"reset":true,"instances":[]}',
+    "no start": b'{"generation":9,"reset":true,"instances":[{"instanceId":"a","hostPort":"127.0.0.1:9",'
+                b'"lifecycle":"SERVING","startedAtMs":1e999}]}',
+    "no weight": b'{"generation":9,"reset":true,"instances":[{"instanceId":"a","hostPort":"127.0.0.1:9",'
+                 b'"lifecycle":"SERVING","weight":NaN}]}',
+    "oversized": b" " * (4 * 1024 * 1024 + 1),
+    "older change": b'{"generation":1,"reset":false,"instances":[{"instanceId":"a","hostPort":"127.0.0.1:9",'
+                    b'"lifecycle":"SERVING"}]}',
+    "older whole": b'{"generation":1,"reset":true,"instances":[{"instanceId":"a","hostPort":"127.0.0.1:9",'
+                   b'"lifecycle":"SERVING"}]}',
+    "unknown state": b'{"generation":9,"reset":false,"instances":[{"instanceId":"a","hostPort":"127.0.0.1:9",'
+                     b'"lifecycle":"RESTING"}]}',
+}
+
+
+@pytest.mark.parametrize("what", ANSWERS)
+def test_a_bad_list_allows_nothing_that_the_last_good_one_forbids_and_the_watch_goes_on(
+    what: str, caplog: pytest.LogCaptureFixture
+) -> None:
+    async def test(loop: VirtualLoop) -> None:
+        agent = Agent(loop, entries={"a": entry("a"), "b": entry("b")})
+        gateway = Follower(loop)
+        agent.change(entry("a", "DRAINING"), entry("b"))
+        await asyncio.sleep(1.0)
+        assert gateway.states == {"a": "draining", "b": "serving"}
+        link, = agent.links
+        agent.watches.clear()
+        caplog.clear()
+        body = ANSWERS[what]
+        link.answer(b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+        for _ in range(100):
+            await asyncio.sleep(0.01)
+            assert gateway.states.get("a") == "draining"
+        assert [r for r in caplog.records if r.name == "embersill"]
+        agent.generation = max(agent.generation, 9)
+        agent.change(entry("b", "DRAINING"))
+        await asyncio.sleep(GRACE)
+        assert gateway.states == {"a": "draining", "b": "draining"}
+
+    with caplog.at_level("INFO", logger="embersill"):
+        play(test)
+
+
+def test_a_discovery_that_counts_anew_is_believed_once_it_says_so_twice() -> None:
+    async def test(loop: VirtualLoop) -> None:
+        agent = Agent(loop, generation=9, entries={"a": entry("a")})
+        gateway = Follower(loop, known=9)
+        await asyncio.sleep(1.0)
+        agent.reset()
+        agent.generation, agent.entries, agent.changes = 2, {"b": entry("b")}, []
+        await asyncio.sleep(GRACE)
+        assert gateway.states == {"b": "serving"}
+        agent.change(entry("b", "DRAINING"))
+        await asyncio.sleep(GRACE)
+        assert gateway.states == {"b": "draining"}
+
+    play(test)
+
+
+@pytest.mark.parametrize("indent", [None, 4])
+def test_a_list_of_1024_backends_is_heard_by_a_gateway_of_1024(indent: int | None) -> None:
+    async def test(loop: VirtualLoop) -> None:
+        agent = Agent(loop, entries={f"s-{n:08x}": entry(f"s-{n:08x}") for n in range(1024)}, indent=indent)
+        gateway = Follower(loop, 1, 1024, known=None)
+        await asyncio.sleep(0.1)
+        assert len(gateway.states) == 1024
+        agent.fall_silent()
+        told = counts_as_told(agent, loop.time())
+        agent.change(*(entry(f"s-{n:08x}", "DRAINING") for n in range(1024)))
+        await asyncio.sleep(told - loop.time())
+        assert set(gateway.states.values()) == {"draining"}
+
+    play(test)
+
+
 def test_no_room_is_no_silence() -> None:
     async def test(loop: VirtualLoop) -> None:
         Agent(loop)
