Let the list service hold the connections of 1,024 instances that renew

Found when every constant that bears on fleet or list size was checked: the list service took 256 connections beside its watchers, fewer than a list of 1,024 instances that each keep one to renew their lease, and it ran with the soft limit on descriptors that it was started with, usually 1,024.

The bound is 1,280 now, 1,024 and the 256 for staff and followers as before, and the service takes the descriptors that the system allows it.

The test opens 1,124 connections to a service started with a soft limit of 1,024; without the change it is refused, with it all are answered.

--- a/embersill/directory/__main__.py
+++ b/embersill/directory/__main__.py
@@ -6,6 +6,7 @@
 import asyncio
 import logging
 import pathlib
+import resource
 import signal
 import sys
 from collections.abc import Callable
@@ -17,7 +18,7 @@
 from embersill.directory.logfile import Corrupt
 from embersill.directory.service import MOST_WATCHERS, Options, Service
 
-OTHER_CALLS = 256  # connections beside those of watchers: instances that renew, staff, followers
+OTHER_CALLS = 1280  # connections beside those of watchers: 1,024 instances that renew, staff, followers
 BACKLOG = 1024  # connections not yet accepted: a fleet that returns together
 END_WITHIN = 5.0  # seconds for calls under way to end after SIGTERM
 
@@ -163,6 +164,12 @@
         log.info("ended, generation %d", self.service.store.generation)
 
 
+def take_descriptors() -> None:
+    """As many as the system allows: the usual soft limit of 1,024 is less than one fleet's connections."""
+    _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+
+
 async def serve(listen: tuple[str, int], options: Options) -> None:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -179,6 +186,7 @@
 def main() -> int:
     told = parser().parse_args()
     logging.basicConfig(format="%(asctime)s %(name)s: %(message)s", level=logging.INFO)
+    take_descriptors()
     options = Options(told.data, told.follow, told.promote, told.watchers, told.fill, told.share)
     try:
         asyncio.run(serve(told.listen, options))
--- a/tests/test_directory_service.py
+++ b/tests/test_directory_service.py
@@ -20,9 +20,9 @@
 from embersill.directory.__main__ import Program
 from embersill.directory.front import BoundedLog
 from embersill.directory.logfile import NotWritten
-from embersill.lab.peers import HOST
+from embersill.lab.peers import HOST, read_message
 from embersill.net.discovery import read_listing
-from tests.lists import ROOT, Caller, process, run, served
+from tests.lists import ROOT, Caller, Process, process, run, served
 from tests.peers import SOON
 
 
@@ -732,3 +732,32 @@
             assert ids(await calls.list()) == {"a": "SERVING"}
 
     run(test)
+
+
+def test_1024_instances_keep_connections_to_renew_whatever_the_soft_limit_on_descriptors(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Their connections were refused from the 257th on beside the watchers', or at 1,024 in all."""
+
+    async def test() -> None:
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (1024, hard))  # the service inherits it
+        try:
+            made = Process(tmp_path, "--watchers", "1")
+            await made.start()
+        finally:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+        writers = []
+        try:
+            for _ in range(1024 + 100):
+                reader, writer = await asyncio.open_connection(HOST, made.port)
+                writers.append(writer)
+                writer.write(b"GET /v1/status HTTP/1.1\r\nHost: x\r\n\r\n")
+                assert (await read_message(reader))[0].split()[1] == "200"
+        finally:
+            for writer in writers:
+                writer.close()
+            await made.kill()
+            resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
+    run(test)
