--- a/embersill/__main__.py
+++ b/embersill/__main__.py
@@ -24,7 +24,8 @@
 from embersill.net.console import MOST_CALLERS, Console, Refused
 from embersill.net.counter import Counter
 from embersill.net.discovery import (
-    Address, BadList, Discovery, Listing, read_address, read_addresses, read_listing,
+    LEAST_LIST, LIST_COST, MOST_LIST, Address, BadList, Discovery, Listing, read_address, read_addresses,
+    read_listing,
 )
 from embersill.net.driver import Driver
 from embersill.net.handover import Handover
@@ -149,11 +150,14 @@
         version = told.known.generation if told.known.entries else None
         self.discovery = Discovery(
             told.discovery, told.limits.dial_timeout, self.driver.list_told, version, told.seed,
-            told.settings.gateways, told.limits.grace if told.settings.list_pushed else None)
+            told.settings.gateways, told.limits.grace if told.settings.list_pushed else None,
+            told.settings.ask_every)
         self.driver.list_figures = self.discovery.figures
+        memory = max(told.memory_mb * MB - BASE_MEMORY, 0)
+        self.discovery.most_list = int(min(max(memory / LIST_COST, LEAST_LIST), MOST_LIST))
         if len(told.discovery) > 1:
             self.driver.list_age = self.discovery.age
-        room = max(told.memory_mb * MB - BASE_MEMORY, 0) * BODIES_PART / (2 * clients)
+        room = memory * BODIES_PART / (2 * clients)
         share = int(min(max(room, LEAST_SHARE), MOST_SHARE))
         self.front = Front(self.driver, told.settings, clock, clients, self.serves, share)
         self.stopped = asyncio.Event()  # it is to end, by a signal or at the end of a lame duck's time
--- a/embersill/net/discovery.py
+++ b/embersill/net/discovery.py
@@ -17,7 +17,7 @@
 from collections import Counter as Tally
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
-from math import isfinite
+from math import inf, isfinite
 from typing import Any, cast
 
 import httptools
@@ -43,12 +43,16 @@
 CALLS = 10.0  # calls a second of all gateways together: in the time that this makes for all, each takes
 # a turn at random after a call without room; the first is made at once, as news count as told from then on
 FEW = 8  # gateways, up to which they need not
+LONGEST_TURN = 2.4  # times the `ask_every` of the settings: 3.6 with its jitter, and who has not asked for 4
+# after a failed call counts as told of the list
 TAKEN_OVER = 100.0  # calls a second of all gateways together at an address that takes over for another
 RETURN_AFTER, MOST_RETURN_AFTER = 60.0, 600.0  # seconds until the first address is tried again, and doubled
 JITTER = 0.5  # of a pause, more or less: many gateways fail together and must not come back together
 log = logging.getLogger("embersill")
 
 MOST_LIST = 4 * 1024 * 1024  # bytes: a fleet of thousands fits
+LEAST_LIST = 1024 * 1024  # bytes that may come however little memory there is: 1,024 backends take 0.3 MB
+LIST_COST = 6  # bytes of memory for each of a list while it is read: 5 were measured with 9,000 backends
 
 
 class BadList(Exception):
@@ -138,7 +142,8 @@
 class DiscoveryConnection(asyncio.Protocol):
     """One connection to the agent; a call's answer, or its end, resolves the call's future."""
 
-    def __init__(self) -> None:
+    def __init__(self, most: int) -> None:
+        self.most = most  # bytes of an answer
         self.transport: asyncio.Transport | None = None
         self.answer: asyncio.Future[bytes] | None = None
         self.parser = httptools.HttpResponseParser(self)
@@ -192,7 +197,7 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self.fail(BadList(str(error)))
         self.size += len(data)
-        if self.size > MOST_LIST:
+        if self.size > self.most:
             self.fail(BadList("an oversized list"))
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -205,8 +210,9 @@
     def __init__(
         self, addresses: Sequence[Address], dial_timeout: float, told: Callable[[Listing], None],
         known: int | None = None, seed: int = 0, gateways: int = 1, grace: float | None = None,
+        ask_every: float = 0.0,
     ) -> None:
-        """`grace`: seconds that sends to a draining backend may go on, where lists are pushed."""
+        """Seconds: `grace` for sends to a draining backend, if lists are pushed; `ask_every` of the rules."""
         self.addresses, self.dial_timeout, self.told = tuple(addresses), dial_timeout, told
         self.place = 0  # of the address in use
         self.heard = asyncio.Event()  # set once discovery has answered at all
@@ -220,7 +226,7 @@
         self.failing = False
         self.unanswered = 0  # calls in a row, the last ones made, that got no answer in time
         self.back_off, self.most_back_off = FIRST_BACK_OFF, MOST_BACK_OFF
-        self.soon = SOON
+        self.most_list, self.soon = MOST_LIST, SOON
         if grace is not None:
             self.soon = SOON_PUSHED
             self.most_back_off = min(max(BACK_OFF_PART * grace, FIRST_BACK_OFF), MOST_BACK_OFF)
@@ -228,6 +234,7 @@
         self.moved = asyncio.Event()  # there are other addresses: no pause holds any more
         self.figures: Tally[str] = Tally()
         self.turns = gateways / CALLS if gateways > FEW else 0.0  # seconds in which all gateways have a turn
+        self.longest_turn = LONGEST_TURN * ask_every or inf
         self.take_over = gateways / TAKEN_OVER  # the same, where another address is ready for them
         self.return_after, self.return_at = RETURN_AFTER, 0.0
 
@@ -289,7 +296,7 @@
         most = max(MOST_BACK_OFF, 2 * self.turns) if full else self.most_back_off
         pause = min(self.back_off, most)
         if full:
-            pause = max(pause, CROWDED, self.turns)
+            pause = min(max(pause, CROWDED, self.turns), self.longest_turn)
         elif len(self.addresses) > 1 and not silent:
             pause = max(pause, self.take_over)
         if self.unanswered != 1:  # a watch alone may have fallen silent, and not the address
@@ -343,7 +350,8 @@
 
     async def connect(self, address: Address) -> DiscoveryConnection:
         async with asyncio.timeout(self.dial_timeout):
-            _, connection = await self.loop.create_connection(DiscoveryConnection, *address)
+            _, connection = await self.loop.create_connection(
+                lambda: DiscoveryConnection(self.most_list), *address)
         if address not in self.addresses:
             connection.fail(ConnectionError("not needed"))
             raise BadList("discovery moved while this connection came up")
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -65,6 +65,7 @@
         self.asked: list[str] = []
         self.headers: list[str] = []  # of every answer
         self.silent = self.endless = False
+        self.mute = 0  # so many of the next answers are not given
 
     def entry(self, name: str, address: str, state: str = "SERVING", started: float = 0) -> dict[str, Any]:
         return {"instanceId": name, "hostPort": address, "zone": "z", "machineType": "k", "cell": 0,
@@ -97,7 +98,9 @@
                 while self.endless:
                     writer.write(b"400\r\n" + b" " * 1024 + b"\r\n")
                     await asyncio.sleep(0.001)
-            if not self.silent:
+            if self.mute:
+                self.mute -= 1
+            elif not self.silent:
                 writer.write(message(200, body, *self.headers))
 
     async def news(self, since: int, wait: float) -> bytes:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -6,12 +6,13 @@
 
 import pytest
 
+from embersill.__main__ import Program, build_configuration
 from embersill.interface import ListKind, Status
 from embersill.lab.peers import message
 from embersill.net.discovery import (
     BadList, Discovery, Listing, NoRoom, read_address, read_addresses, read_listing,
 )
-from tests.bed import no_descriptors, request, run, running
+from tests.bed import Bed, no_descriptors, request, roomy_settings, run, running
 from tests.peers import SOON, DiscoveryPeer
 
 
@@ -213,6 +214,32 @@
     run(test)
 
 
+@pytest.mark.parametrize("calls", [1, 2])
+def test_nothing_goes_to_a_backend_whose_drain_a_silent_watch_has_missed(
+    calls: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("embersill.net.discovery.WATCH_MS", 400)
+
+    async def test() -> None:
+        async with running(backends=2) as bed:
+            client = await bed.client()
+            for number in range(8):
+                assert (await client.ask(request(number)))[0] == 200
+            draining, other = bed.backends
+            asked = len(bed.discovery.asked)
+            bed.discovery.mute = calls  # the watch, and the call after it
+            await bed.discovery.change(bed.discovery.entry("b0", draining.address, "DRAINING"))
+            await bed.discovery.until_asked(asked + calls + 1)  # one answered call, and the watch after it
+            assert bed.discovery.mute == 0
+            seen = len(draining.seen)
+            for number in range(8, 20):
+                assert (await client.ask(request(number)))[0] == 200
+            assert len(draining.seen) == seen and len(other.seen) >= 12
+            assert bed.discovery.connections == calls + 1
+
+    run(test)
+
+
 # several addresses
 
 
@@ -416,3 +443,28 @@
 def test_addresses_out_of_form_are_told(wrong: object) -> None:
     with pytest.raises((ValueError, TypeError, AttributeError)):
         read_addresses(wrong)
+
+
+@pytest.mark.parametrize(("memory_mb", "most"), [(16, 1), (32, 2), (64, 4), (192, 4)])
+def test_a_list_may_take_a_part_of_the_memory_and_always_holds_1024_backends(
+    memory_mb: int, most: int
+) -> None:
+    async def test() -> None:
+        bed = Bed(0)
+        for peer in (bed.discovery, bed.counter):
+            await peer.start()
+        told = bed.told(roomy_settings(), 1024)
+        told["limits"]["memory_mb"] = memory_mb
+        program = Program(build_configuration(told, {}))
+        await bed.discovery.change(
+            *(bed.discovery.entry(f"s-{n:08x}", "127.0.0.1:9") for n in range(1024)))
+        following = asyncio.get_running_loop().create_task(program.discovery.run())
+        await bed.discovery.until_asked(2)
+        assert program.discovery.most_list == most * 1024 * 1024 and len(program.driver.serving) == 1024
+        following.cancel()
+        program.driver.reporter.cancel()
+        program.dialer.close()
+        for peer in (bed.discovery, bed.counter):
+            await peer.stop()
+
+    run(test)
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -12,7 +12,7 @@
 import pytest
 
 from embersill.interface import Status
-from embersill.net.discovery import NoRoom
+from embersill.net.discovery import Discovery, NoRoom
 from tests.virtual import AGENT, WIRE, Agent, Follower, VirtualLoop, entry, play
 
 PAST_WAIT = 2.0  # seconds past its wait after which what a silent watch missed counts as told, by PROTOCOL
@@ -260,6 +260,19 @@
     play(test)
 
 
+@pytest.mark.parametrize("gateways", [9, 40, 200, 1024])
+def test_turns_are_over_before_the_list_counts_as_told_for_want_of_a_call(gateways: int) -> None:
+    """By WIRE, that is 4 times `ask_every` after a failed call: 1,024 gateways waited for up to 300 s."""
+    async def test(loop: VirtualLoop) -> None:
+        Agent(loop)
+        for seed in range(20):
+            discovery = Discovery([AGENT], 0.25, lambda told: None, 1, seed, gateways, None, 10.0)
+            pauses = [discovery.failed(NoRoom("status 503")) for _ in range(8)]
+            assert max(pauses) < 40.0 and pauses[0] >= 0.5 * min(gateways / 10, 24.0)
+
+    play(test)
+
+
 ANSWERS = {
     "cut short": b'{"generation":9,"reset":true,"instances":[{"instanceId":"a","lifecyc',
     "not JSON": b"<html>busy</html>",
