--- /dev/null
+++ b/tests/test_drain_moment.py
@@ -0,0 +1,119 @@
+"""The moment at which a drain is told, in a change, in a whole list or by absence: nothing new goes there."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from embersill.lab.peers import Asked, message
+from embersill.net.discovery import read_listing
+from tests.bed import Bed, request, roomy_settings, run, running
+from tests.peers import SOON, serve
+
+HOW = ("change", "whole", "absent")
+
+
+def leave(bed: Bed, names: list[str], how: str) -> None:
+    """Discovery tells that these drain, or are gone; the others serve."""
+    entries = dict(bed.discovery.entries)
+    for name in names:
+        entries[name] = {**entries[name], "lifecycle": "DRAINING"}
+        if how == "absent":
+            del entries[name]
+    told = {"generation": 2, "reset": how != "change", "instances": list(entries.values())}
+    bed.program.driver.list_told(read_listing(told))
+
+
+def others(bed: Bed, name: str) -> list[str]:
+    return [other for other in bed.discovery.entries if other != name]
+
+
+@pytest.mark.parametrize("how", HOW)
+def test_a_held_request_goes_where_the_list_serves_when_it_is_let_go(how: str) -> None:
+    async def test() -> None:
+        env = roomy_settings()
+        env["packages"][0].update(peak_units=16.0, units_per_s=100.0)  # a bank of 8 here, 50 a second
+        async with running(backends=3, env=env) as bed:
+            client, second = await bed.client(), await bed.client()
+            assert (await client.ask(request(1, units="8")))[0] == 200
+            second.send(request(2, units="8"))
+            throttles = bed.program.driver.gateway.throttles
+            async with asyncio.timeout(SOON):
+                while not any(throttle.queue for throttle in throttles.values()):
+                    await asyncio.sleep(0)
+            leave(bed, ["b0", "b1"], how)
+            assert (await second.answer())[0] == 200
+            assert any("0000000000000002" == asked[1]["x-call-id"] for asked in bed.backends[2].seen)
+
+    run(test)
+
+
+@pytest.mark.parametrize("how", HOW)
+def test_a_request_half_written_as_its_backend_drains_is_finished_there_and_nowhere_else(how: str) -> None:
+    async def test() -> None:
+        async with running(backends=3) as bed:
+            client, body = await bed.client(), b"x" * 200_000
+            text = request(1, "report", body=body)
+            client.send(text[:-100_000])
+            async with asyncio.timeout(SOON):
+                while not any(a.written for p in bed.program.driver.pending.values() for a in p.attempts):
+                    await asyncio.sleep(0.001)
+            pending, = bed.program.driver.pending.values()
+            name = pending.attempts[0].backend
+            leave(bed, [name], how)
+            client.send(text[-100_000:])
+            assert (await client.answer())[0] == 200
+            seen = bed.seen()
+            assert len(seen) == 1 and seen[0] in bed.backends[int(name[1:])].seen and seen[0][2] == body
+            for number in range(2, 10):
+                assert (await client.ask(request(number)))[0] == 200
+            assert len(bed.backends[int(name[1:])].seen) == 1
+
+    run(test)
+
+
+@pytest.mark.parametrize("how", HOW)
+def test_a_retry_at_that_moment_goes_where_the_new_list_serves(how: str) -> None:
+    async def test() -> None:
+        async with running(backends=4) as bed:
+            drained: list[str] = []
+
+            def turns_away(writer: asyncio.StreamWriter, asked: Asked) -> None:
+                """The list comes just before the answer that brings the retry; one of the others stays."""
+                if drained:
+                    return serve(writer, asked)
+                here = next(f"b{n}" for n, b in enumerate(bed.backends) if asked in b.seen)
+                drained.extend([here, *others(bed, here)[:2]])
+                leave(bed, drained, how)
+                writer.write(message(503, b"", "X-Rejected: 1"))
+                return None
+
+            for backend in bed.backends:
+                backend.script = [turns_away]
+            client = await bed.client()
+            assert (await client.ask(request(1)))[0] == 200
+            stays, = set(bed.discovery.entries) - set(drained)
+            assert len(bed.backends[int(stays[1:])].seen) == 1 and len(bed.seen()) == 2
+
+    run(test)
+
+
+@pytest.mark.parametrize("how", HOW)
+def test_warm_connections_to_a_backend_that_drains_are_closed_and_none_is_opened(how: str) -> None:
+    async def test() -> None:
+        async with running(backends=3) as bed:
+            client = await bed.client()
+            for number in range(20):
+                assert (await client.ask(request(number)))[0] == 200
+            pool, leaving = bed.program.dialer.pool, bed.backends[0]
+            assert pool.places["b0"].idle
+            seen, up = len(leaving.seen), leaving.connections
+            leave(bed, ["b0"], how)
+            pool.warm("b0", 1)  # what the module had asked for just before
+            await leaving.until(lambda: leaving.ended == up)
+            for number in range(20, 40):
+                assert (await client.ask(request(number)))[0] == 200
+            assert (len(leaving.seen), leaving.connections) == (seen, up)
+
+    run(test)
