Ask with a pause where discovery answers with older lists for good

Found when the handling of older lists was read again: an older answer that was set aside was followed by the next call without a pause, so a discovery that answers each call with old changes would have been asked in a hot loop. An older list is a bad list now, with the back-off of one.

The test counts at most 70 calls in 10 s of virtual time; before there was one for each round trip.

--- a/embersill/net/discovery.py
+++ b/embersill/net/discovery.py
@@ -261,26 +261,21 @@
             if self.failing:
                 log.info("discovery answers again")
             self.failing = False
-            if self.is_older(listing):
-                continue
             self.generation = self.newest = listing.generation
             self.told(listing)
             self.heard.set()
             if self.place and self.loop.time() >= self.return_at:
                 await self.return_to_first()
 
-    def is_older(self, listing: Listing) -> bool:
-        """True for a list older than the one at hand, which is set aside and the whole one asked for.
+    def check_newer(self, listing: Listing) -> None:
+        """BadList for a list older than the one at hand: it is set aside, and the whole one asked for.
 
         Where that is older too, discovery counts anew or has lost its list: it is believed.
         """
-        older = listing.generation < self.newest
-        if older and not (self.counts_anew and listing.whole):
-            log.warning("a list of version %d, older than %d, is set aside", listing.generation, self.newest)
-            self.generation, self.counts_anew = None, True
-            return True
-        self.counts_anew = False
-        return False
+        before = self.counts_anew
+        self.counts_anew = listing.generation < self.newest
+        if self.counts_anew and not (before and listing.whole):
+            raise BadList(f"a list of version {listing.generation}, older than {self.newest}")
 
     def failed(self, error: Exception) -> float:
         """Takes in how a call failed; the seconds until the next, which may go to another address."""
@@ -339,6 +334,7 @@
         if len(self.addresses) > 1 and listing.generation < self.newest and not connection.leads:
             where = f"{self.address[0]}:{self.address[1]}"
             raise Behind(f"{where} is at {listing.generation}, the list at {self.newest}")
+        self.check_newer(listing)
         self.current_at = self.loop.time() - connection.lag
         return listing
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -12,8 +12,8 @@
 from embersill.net.discovery import (
     BadList, Discovery, Listing, NoRoom, read_address, read_addresses, read_listing,
 )
-from tests.bed import Bed, no_descriptors, request, roomy_settings, run, running
-from tests.peers import SOON, DiscoveryPeer
+from tests.bed import Bed, Client, no_descriptors, request, roomy_settings, run, running
+from tests.peers import SOON, BackendPeer, DiscoveryPeer
 
 
 async def follow(
@@ -196,6 +196,13 @@
         read_listing(wrong)
 
 
+async def nothing_goes_to(draining: BackendPeer, other: BackendPeer, client: Client) -> None:
+    seen = len(draining.seen)
+    for number in range(8, 20):
+        assert (await client.ask(request(number)))[0] == 200
+    assert len(draining.seen) == seen and len(other.seen) >= 12
+
+
 def test_nothing_is_written_to_a_backend_that_drains() -> None:
     async def test() -> None:
         async with running(backends=2) as bed:
@@ -206,10 +213,7 @@
             asked = len(bed.discovery.asked)
             await bed.discovery.change(bed.discovery.entry("b0", draining.address, "DRAINING"))
             await bed.discovery.until_asked(asked + 1)  # the next watch: the change was taken in
-            seen = len(draining.seen)
-            for number in range(8, 20):
-                assert (await client.ask(request(number)))[0] == 200
-            assert len(draining.seen) == seen and len(other.seen) >= 12
+            await nothing_goes_to(draining, other, client)
 
     run(test)
 
@@ -231,10 +235,7 @@
             await bed.discovery.change(bed.discovery.entry("b0", draining.address, "DRAINING"))
             await bed.discovery.until_asked(asked + calls + 1)  # one answered call, and the watch after it
             assert bed.discovery.mute == 0
-            seen = len(draining.seen)
-            for number in range(8, 20):
-                assert (await client.ask(request(number)))[0] == 200
-            assert len(draining.seen) == seen and len(other.seen) >= 12
+            await nothing_goes_to(draining, other, client)
             assert bed.discovery.connections == calls + 1
 
     run(test)
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -321,6 +321,21 @@
         play(test)
 
 
+def test_a_discovery_that_answers_with_old_changes_for_good_is_not_asked_without_a_pause() -> None:
+    async def test(loop: VirtualLoop) -> None:
+        agent = Agent(loop, generation=9, entries={"a": entry("a")})
+        gateway = Follower(loop, known=9)
+        await asyncio.sleep(1.0)
+        agent.reset()
+        agent.generation, agent.entries, agent.always_changes = 2, {}, True
+        before = len(agent.asked)
+        await asyncio.sleep(10.0)
+        assert gateway.states == {} and len(gateway.told) == 1
+        assert len(agent.asked) - before <= 70  # a quarter of the grace apart, by half less at the least
+
+    play(test)
+
+
 def test_a_discovery_that_counts_anew_is_believed_once_it_says_so_twice() -> None:
     async def test(loop: VirtualLoop) -> None:
         agent = Agent(loop, generation=9, entries={"a": entry("a")})
--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -109,6 +109,7 @@
     watches: list[Watch] = field(default_factory=list)
     asked: list[tuple[float, str]] = field(default_factory=list)  # when, and the target
     down = refuses = unreachable = False
+    always_changes = False  # also to who asks for the whole list
     forgets = False  # what was asked while it was down
     silent_calls = 0  # so many of the next calls fall silent
     room = 0  # calls a second that it serves, if above nought; the others get a 503
@@ -148,7 +149,7 @@
             watch.since = -1 if watch.since is None else watch.since
 
     def listing(self, since: int | None) -> bytes:
-        whole = since is None or since < 0 or since > self.generation
+        whole = (since is None or since < 0 or since > self.generation) and not self.always_changes
         news = {e["instanceId"]: e for at, e in self.changes if not whole and at > (since or 0)}
         told = {"generation": self.generation, "reset": whole,
                 "instances": list((self.entries if whole else news).values())}
