--- a/embersill/net/discovery.py
+++ b/embersill/net/discovery.py
@@ -279,11 +279,12 @@
 
     def failed(self, error: Exception) -> float:
         """Takes in how a call failed; the seconds until the next, which may go to another address."""
+        silent, full = isinstance(error, TimeoutError), isinstance(error, NoRoom)
         if not self.failing:  # the first of them: discovery may be away for long
-            log.info("discovery fails, the list stays as it was: %s %s", type(error).__name__, error)
+            why = "no answer in time" if silent else f"{type(error).__name__} {error}"
+            log.info("discovery fails, the list stays as it was: %s", why)
         self.failing = True
         self.drop()
-        silent, full = isinstance(error, TimeoutError), isinstance(error, NoRoom)
         self.figures["list silent" if silent else "list no room" if full else "list failed"] += 1
         self.unanswered = self.unanswered + 1 if silent else 0
         if isinstance(error, BadList | ValueError):
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -454,7 +454,7 @@
         bed = Bed(0)
         for peer in (bed.discovery, bed.counter):
             await peer.start()
-        told = bed.told(roomy_settings(), 1024)
+        told = bed.told({**roomy_settings(), "balancers": 1024}, 1024)
         told["limits"]["memory_mb"] = memory_mb
         program = Program(build_configuration(told, {}))
         await bed.discovery.change(
