Take a client that ends its sending for gone, also where its connection is not read

Cause: ClientConnection.eof_received served on after a FIN, which can't be told from a close; the protocol calls a closed connection a client gone. A request that was held, in line, connecting or repeating was sent on for a client that was gone, until the first write to it failed. Where reading was paused (16 requests under way, a body held back) the FIN was not seen at all. Ruled out: resets, which connection_lost told at once while reading.

Change: a FIN ends all that is unanswered there. Connections that are paused are looked at every 40 ms with one poll for their ends (POLLRDHUP), those alone: idle ones cost nothing.

A limit of the kernel's: a FIN behind more bytes than both kernels hold can't be seen before those are read.

--- a/embersill/net/bodies.py
+++ b/embersill/net/bodies.py
@@ -4,7 +4,7 @@
 
 import select
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Protocol
 
 WHOLE = 64 * 1024  # bytes up to which a body or an answer is taken whole before it goes on
@@ -25,6 +25,15 @@
     return bool(waiting.poll(0))
 
 
+def ended_unread(descriptors: Iterable[int]) -> list[int]:
+    """Those of the sockets whose other end has closed or reset, also behind bytes that were not read yet."""
+    waiting = select.poll()
+    for descriptor in descriptors:
+        waiting.register(descriptor, select.POLLRDHUP)
+    ends = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+    return [descriptor for descriptor, told in waiting.poll(0) if told & ends]
+
+
 class Sink(Protocol):
     """Where an answer goes while it still comes; `room` is called when it has room again."""
 
--- a/embersill/net/clients.py
+++ b/embersill/net/clients.py
@@ -17,7 +17,7 @@
 import httptools
 
 from embersill.interface import Repeats, Settings
-from embersill.net.bodies import MOST_BODY, READ, WHOLE, Upload, is_readable
+from embersill.net.bodies import MOST_BODY, READ, WHOLE, Upload, ended_unread, is_readable
 from embersill.net.driver import Call, Driver
 
 MOST_HEAD = 32 * 1024  # bytes of request line and headers: a generous browser sends a quarter of it
@@ -28,6 +28,8 @@
 READ_WITHIN = 2.5  # seconds for a head, the first from the connect on: clients take 2, the terms give peers 3
 SLOWEST = 16 * 1024  # bytes a second that a body must bring on top of that: clients send four times as fast
 LOOK_EVERY = 0.1  # seconds between looks for requests that did not
+LOOK_FOR_ENDS_EVERY = 0.04  # seconds between looks for ends of connections that are not read: an attempt that
+# begins 0.1 s after its client went breaks the rule
 STUCK = 10.0  # seconds for which a client may read nothing of its answers: longer than any of its budgets
 SEND_BUFFER = 128 * 1024  # bytes the kernel may hold for a client: more would hide how slowly it reads
 LINGER = 1.0  # seconds for a peer to read an error answer before its connection goes
@@ -454,6 +456,7 @@
         if full:
             self.paused_since = now
             self.transport.pause_reading()
+            self.front.watch_paused(self)
         else:
             self.awaited += now - self.paused_since  # it could not send what was not read
             self.transport.resume_reading()
@@ -551,21 +554,29 @@
             self.transport.close()
 
     def eof_received(self) -> bool:
-        """The client sends no more. It may still read: only a broken connection tells that it has gone."""
-        self.ended = True
-        if self.closing or not self.exchanges:
-            return False
-        return True
+        """The client has gone: whether it only half-closed can't be told, and the protocol knows no such."""
+        self.client_left()
+        return False
 
-    def connection_lost(self, exc: Exception | None) -> None:
-        self.front.closed(self)
-        self.transport = None
+    def client_left(self) -> None:
+        """Nothing more is begun for it: its requests end, wherever they wait."""
         self.ended = True
         exchanges, self.exchanges = self.exchanges, deque()
         for exchange in exchanges:
             if exchange.number and exchange.text is None and not exchange.done:
                 self.front.driver.client_left(exchange.number)
 
+    def left_unread(self) -> None:
+        """Its end has come behind bytes that are not read for now."""
+        if self.exchanges and self.transport is not None:
+            self.client_left()
+            self.transport.abort()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.front.closed(self)
+        self.transport = None
+        self.client_left()
+
     def ends_with(self, exchange: Exchange) -> bool:
         """While the gateway stops: True for the last that was taken here, which is to say so in its answer.
 
@@ -592,6 +603,10 @@
         return now - self.idle_since > SETTLED
 
 
+    def descriptor(self) -> int:
+        assert self.transport is not None
+        return int(self.transport.get_extra_info("socket").fileno())
+
     def has_unread(self) -> bool:
         """True where something waits in the kernel, perhaps a request that closing would cross."""
         return self.transport is not None and is_readable(self.transport.get_extra_info("socket"))
@@ -627,6 +642,23 @@
         self.successor: Callable[[ClientConnection], bool] | None = None  # gives a connection to it
         self.elsewhere = 0  # connections of the process before, which count under the same bound
         self.looker = self.loop.call_later(LOOK_EVERY, self.look)
+        self.paused: set[ClientConnection] = set()  # not read for now: their ends are looked for
+        self.end_looker: asyncio.TimerHandle | None = None
+
+    def watch_paused(self, connection: ClientConnection) -> None:
+        self.paused.add(connection)
+        if self.end_looker is None:
+            self.end_looker = self.loop.call_later(LOOK_FOR_ENDS_EVERY, self.look_for_ends)
+
+    def look_for_ends(self) -> None:
+        """The loop tells nothing of a connection that is not read: the kernel is asked, for these alone."""
+        self.end_looker = None
+        self.paused = {c for c in self.paused if c.paused and c.transport is not None}
+        by_descriptor = {c.descriptor(): c for c in self.paused if c.exchanges}
+        for descriptor in ended_unread(by_descriptor):
+            by_descriptor[descriptor].left_unread()
+        if self.paused:
+            self.end_looker = self.loop.call_later(LOOK_FOR_ENDS_EVERY, self.look_for_ends)
 
     def look(self) -> None:
         self.looker = self.loop.call_later(LOOK_EVERY, self.look)
@@ -768,6 +800,8 @@
 
     def close(self) -> None:
         self.looker.cancel()
+        if self.end_looker is not None:
+            self.end_looker.cancel()
 
     async def wait_drained(self, at_most: float) -> None:
         """Waits until the kernel has every answer, but not for ever on a client that reads nothing."""
