Bound the list's staleness by the schedule: the next call within 5 s, however the last one ended

Term: a change counts as told 6 s after discovery had it and could be reached, whatever calls failed. Cause, by the constants' sums, confirmed by tests in virtual time: a watch waited up to 10 s, so a silent one was known after 10.5 s; a call after silence took up to 5 s and up to 6 s of pause came on top; after a 503 a gateway waited for its turn, 10 to 30 s with 200 gateways, also at an agent of its own; after SIGHUP the first call had 5 s. Ruled out: reset watches and refused connections, which were followed up at once. Change: a watch waits 2.7 to 4.5 s; what a call took comes off the pause behind it; turns end within the bound, and there are none where lists are pushed, as an agent answers at once and at no cost; calls to it are given half a second (half of the grace for drains, if that is less), however often they were silent before.

--- a/embersill/__main__.py
+++ b/embersill/__main__.py
@@ -150,8 +150,7 @@
         version = told.known.generation if told.known.entries else None
         self.discovery = Discovery(
             told.discovery, told.limits.dial_timeout, self.driver.list_told, version, told.seed,
-            told.settings.gateways, told.limits.grace if told.settings.list_pushed else None,
-            told.settings.ask_every)
+            told.settings.gateways, told.limits.grace if told.settings.list_pushed else None)
         self.driver.list_figures = self.discovery.figures
         memory = max(told.memory_mb * MB - BASE_MEMORY, 0)
         self.discovery.most_list = int(min(max(memory / LIST_COST, LEAST_LIST), MOST_LIST))
--- a/embersill/net/discovery.py
+++ b/embersill/net/discovery.py
@@ -3,9 +3,11 @@
 Where several addresses are told, they are one list: the first is its leader's, and the others take over while
 that is away. A list older than the one at hand is not taken from a copy, as what was told must be obeyed.
 
-What a watch that fell silent has missed counts as told 2 s after its wait is over, whether it arrived or not.
-So a watch without an answer just past its wait is broken, and a call made at once. Discovery that turns calls
-away is not silent: it lacks room, and all gateways take turns.
+Staleness is bounded by the schedule itself: a change counts as told 6 s after discovery had it and could be
+reached, whatever failed before. So a watch waits no longer than that allows; one without an answer just past
+its wait is broken, and a call made at once; and however calls end, the next begins within 5 s of the last.
+Discovery that turns calls away is not silent: it lacks room, and all gateways take turns within that bound.
+A list that has grown older than that is kept: an outage of discovery must not become one of the gateway.
 """
 
 from __future__ import annotations
@@ -17,7 +19,7 @@
 from collections import Counter as Tally
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
-from math import inf, isfinite
+from math import isfinite
 from typing import Any, cast
 
 import httptools
@@ -25,29 +27,30 @@
 from embersill.interface import Backend, ListKind, Status
 from embersill.settings import STATUSES
 
-WATCH_MS = 10000  # a watch's wait, at the most: many gateways pay jointly for the calls
-WATCH_PART = 0.5  # of it that a watch waits at the least, drawn anew for each: a change ends all watches of
+NEXT_WITHIN = 5.0  # seconds from a call's begin to the next's, at the most, if it gets no answer: of the 6 s
+# after which a change counts as told one is left for the next call's answer
+WATCH_MS = 4500  # a watch's wait, at the most: with OVERDUE it is NEXT_WITHIN if it falls silent
+WATCH_PART = 0.6  # of it that a watch waits at the least, drawn anew for each: a change ends all watches of
 # a fleet together, and those that fall silent together must not come again in step
 AT_ONCE_MS = 1  # the wait of the first call: what has changed since the remembered list, if anything has
-OVERDUE = 0.5  # seconds past a watch's wait from which it is silent: in the 1.5 that are left there is time
-# for two more calls, should the next be silent too
+OVERDUE = 0.5  # seconds past a watch's wait from which it is silent; for any call where lists are pushed, as
+# an agent answers at once and at no cost
+OVERDUE_PART = 0.5  # of the grace for drains that this is at the most where lists are pushed
 SOON = 3  # calls after a silent watch that are given no longer than that; each one after them, twice as long
-SOON_PUSHED = 16  # the same where lists are pushed: an agent answers at once, and in an outage of some ten s
-# no two calls are further apart than the grace
-ANSWER_WITHIN = 5.0  # seconds that any other call's answer may take: given up too soon, it is made in vain
-FIRST_BACK_OFF, MOST_BACK_OFF = 0.05, 4.0  # seconds before a failed call is made again: doubled each time.
-# The most, with its jitter, is the 6 s after which all that discovery has to tell counts as told
+ANSWER_WITHIN = 4.0  # up to this: given up too soon, a call of a service in demand is made in vain
+FIRST_ANSWER_WITHIN = 2.0  # seconds for a call after none that was silent: after SIGHUP, where news count as
+# told in 4 s, as much is left for others
+FIRST_BACK_OFF = 0.05  # seconds before a failed call is made again: doubled each time
 BACK_OFF_PART = 0.25  # of the grace for drains that it is at the most where lists are pushed: what the agent
 # has counts as told there, and the call must be made and answered within the grace
 CROWDED = 0.5  # the first of them where discovery says that it has no room
 CALLS = 10.0  # calls a second of all gateways together: in the time that this makes for all, each takes
-# a turn at random after a call without room; the first is made at once, as news count as told from then on
+# a turn at random after a call without room, as far as NEXT_WITHIN allows; the first is made at once
 FEW = 8  # gateways, up to which they need not
-LONGEST_TURN = 2.4  # times the `ask_every` of the settings: 3.6 with its jitter, and who has not asked for 4
-# after a failed call counts as told of the list
 TAKEN_OVER = 100.0  # calls a second of all gateways together at an address that takes over for another
 RETURN_AFTER, MOST_RETURN_AFTER = 60.0, 600.0  # seconds until the first address is tried again, and doubled
 JITTER = 0.5  # of a pause, more or less: many gateways fail together and must not come back together
+MOST_BACK_OFF = NEXT_WITHIN / (1.0 + JITTER)  # seconds: with its jitter no longer than the bound
 log = logging.getLogger("embersill")
 
 MOST_LIST = 4 * 1024 * 1024  # bytes: a fleet of thousands fits
@@ -210,9 +213,8 @@
     def __init__(
         self, addresses: Sequence[Address], dial_timeout: float, told: Callable[[Listing], None],
         known: int | None = None, seed: int = 0, gateways: int = 1, grace: float | None = None,
-        ask_every: float = 0.0,
     ) -> None:
-        """Seconds: `grace` for sends to a draining backend, if lists are pushed; `ask_every` of the rules."""
+        """`grace`: seconds for sends to a draining backend, if lists are pushed."""
         self.addresses, self.dial_timeout, self.told = tuple(addresses), dial_timeout, told
         self.place = 0  # of the address in use
         self.heard = asyncio.Event()  # set once discovery has answered at all
@@ -226,15 +228,15 @@
         self.failing = False
         self.unanswered = 0  # calls in a row, the last ones made, that got no answer in time
         self.back_off, self.most_back_off = FIRST_BACK_OFF, MOST_BACK_OFF
-        self.most_list, self.soon = MOST_LIST, SOON
+        self.most_list, self.asked_at = MOST_LIST, self.loop.time()
+        self.pushed, self.overdue = grace is not None, OVERDUE
         if grace is not None:
-            self.soon = SOON_PUSHED
             self.most_back_off = min(max(BACK_OFF_PART * grace, FIRST_BACK_OFF), MOST_BACK_OFF)
+            self.overdue = min(max(OVERDUE_PART * grace, FIRST_BACK_OFF), OVERDUE)
         self.dialling: asyncio.Timeout | None = None  # of a call whose connection comes up
         self.moved = asyncio.Event()  # there are other addresses: no pause holds any more
         self.figures: Tally[str] = Tally()
         self.turns = gateways / CALLS if gateways > FEW else 0.0  # seconds in which all gateways have a turn
-        self.longest_turn = LONGEST_TURN * ask_every or inf
         self.take_over = gateways / TAKEN_OVER  # the same, where another address is ready for them
         self.return_after, self.return_at = RETURN_AFTER, 0.0
 
@@ -289,16 +291,19 @@
         self.unanswered = self.unanswered + 1 if silent else 0
         if isinstance(error, BadList | ValueError):
             self.generation = None  # a watch from this version would be refused again and again
-        most = max(MOST_BACK_OFF, 2 * self.turns) if full else self.most_back_off
-        pause = min(self.back_off, most)
+        pause = self.back_off
         if full:
-            pause = min(max(pause, CROWDED, self.turns), self.longest_turn)
+            pause = max(pause, CROWDED)
         elif len(self.addresses) > 1 and not silent:
             pause = max(pause, self.take_over)
+        pause = min(pause, self.most_back_off)
         if self.unanswered != 1:  # a watch alone may have fallen silent, and not the address
             self.turn_to_next()
-        self.back_off = min(2 * pause, most)
-        return pause * self.jitter()
+        self.back_off = min(2 * pause, self.most_back_off)
+        left = max(NEXT_WITHIN - (self.loop.time() - self.asked_at), FIRST_BACK_OFF)
+        if full and self.turns and not self.pushed:
+            return CROWDED + min(self.turns, max(left - CROWDED, 0.0)) * self.random.random()
+        return min(pause * self.jitter(), left)
 
     async def pause(self, seconds: float) -> None:
         """Waits, but for no address that is no more."""
@@ -320,6 +325,7 @@
             target = f"/v1/endpoints?since={self.generation}&timeout_ms={wait_ms}"
             wait = wait_ms / 1000.0
         self.figures["list asked"] += 1
+        self.asked_at = self.loop.time()
         async with asyncio.timeout(wait + self.patience(wait)) as limit:
             if self.connection is None:
                 self.dialling = limit
@@ -341,9 +347,11 @@
 
     def patience(self, wait: float) -> float:
         """Seconds past its wait that a call's answer may take."""
+        if self.pushed or wait > AT_ONCE_MS / 1000.0:
+            return self.overdue
         if self.unanswered:
-            return min(OVERDUE * 2.0 ** max(0, self.unanswered - self.soon), ANSWER_WITHIN)
-        return OVERDUE if wait > AT_ONCE_MS / 1000.0 else ANSWER_WITHIN
+            return min(OVERDUE * 2.0 ** max(0, self.unanswered - SOON), ANSWER_WITHIN)
+        return FIRST_ANSWER_WITHIN
 
     async def connect(self, address: Address) -> DiscoveryConnection:
         async with asyncio.timeout(self.dial_timeout):
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -12,7 +12,7 @@
 from embersill.net.discovery import (
     BadList, Discovery, Listing, NoRoom, read_address, read_addresses, read_listing,
 )
-from tests.bed import Bed, Client, no_descriptors, request, roomy_settings, run, running
+from tests.bed import READY, Bed, Client, no_descriptors, request, roomy_settings, run, running
 from tests.peers import SOON, BackendPeer, DiscoveryPeer
 
 
@@ -469,3 +469,27 @@
             await peer.stop()
 
     run(test)
+
+
+@pytest.mark.parametrize("way", ["refused", "silent"])
+def test_a_gateway_that_can_no_longer_hear_discovery_serves_on_by_the_list_it_has(way: str) -> None:
+    # a list older than the bound is kept: an outage of discovery must not become one of the gateway
+    async def test() -> None:
+        async with running() as bed:
+            discovery = bed.program.discovery
+            await bed.discovery.until_asked(2)
+            if way == "silent":
+                bed.discovery.silent = True
+                async with bed.discovery.changed:
+                    bed.discovery.generation += 1
+                    bed.discovery.changed.notify_all()
+            else:
+                await bed.discovery.stop()
+            while not discovery.failing:
+                await asyncio.sleep(0.01)
+            clock = discovery.loop.time()
+            discovery.current_at = clock - 60.0
+            client = await bed.client()
+            assert (await client.ask(READY))[0] == 200 and (await client.ask(request(1)))[0] == 200
+
+    run(test)
