Refuse what is read after the last moment of a shutdown, and end before the settings' kill

Now one with under 0.5 s left gets a 503 with Retry-After; none is sent on after the end. - ALL_ANSWERED was 3.4 s whatever the deadlines; by PROTOCOL the kill follows SIGTERM after the longest deadline (3 s at the most) and 0.7 s, so 1.7 s with deadlines of 1 s. It comes from the settings now, and the module is told of it as the end of each request taken meanwhile. - What was held and never sent on got a 504 at the end: a 503 with Retry-After now. - The listener took in 64 of those that waited and reset the others with its close; now all, within 0.2 s. Ruled out: idle connections closed over unread bytes in wait_to_the_end, which are left for the next look.

--- a/embersill/__main__.py
+++ b/embersill/__main__.py
@@ -44,7 +44,9 @@
 LEAST_SHARE, MOST_SHARE = 8 * 1024, 64 * 1024  # bytes that may wait for a peer
 FIRST_LIST_WITHIN = 0.3  # seconds to wait for discovery's own word before the remembered list must do
 STILL_COMING = 0.5  # seconds after SIGTERM in which clients still connect, by the protocol, and a little
-ALL_ANSWERED = 3.4  # seconds after SIGTERM by which all is answered: it may be killed 0.3 s later
+KILL_AFTER, LONGEST_COUNTED = 0.7, 3.0  # SIGKILL follows SIGTERM no sooner than the longest deadline, counted
+# as 3 s where it is longer, and 0.7 s more
+BEFORE_KILL = 0.3  # seconds before that by which all is answered
 LAME_DUCK = 5.0  # seconds of it, where the configuration does not tell: fronts notice in some four
 LAST_WORD = 30.0  # seconds after a drain for which the console is there to tell that nothing is open
 LAST_WORD_HANDED = 1.0  # and to tell where a lame duck's successor is: an upgrade's kill may be near
@@ -162,6 +164,8 @@
         self.stopped = asyncio.Event()  # it is to end, by a signal or at the end of a lame duck's time
         self.duck = LameDuck(clock, self.front, self.stopped.set)
         self.handover = Handover(told.folder, self.driver, self.front, self.duck)
+        longest = max((c.deadline for c in told.settings.classes), default=LONGEST_COUNTED)
+        self.all_answered = min(longest, LONGEST_COUNTED) + KILL_AFTER - BEFORE_KILL
         self.listen, self.console_at = told.listen, told.console
         self.console = Console({
             "STATUS": self.status, "METRICS": self.metrics, "SUSPEND": self.suspend, "RESTORE": self.restore,
@@ -337,20 +341,26 @@
             self.driver.counter.move(told.counter)
         return None
 
-    async def stop(self, still_coming: float = STILL_COMING, all_answered: float = ALL_ANSWERED) -> None:
+    async def stop(self, still_coming: float = STILL_COMING, all_answered: float | None = None) -> None:
         """Takes what still comes, answers all of it, and leaves nothing behind."""
         self.front.stopping = True
+        left = self.all_answered if all_answered is None else all_answered
+        drained = self.duck.until is not None  # no kill is due
+        if not drained:
+            self.driver.ends_at = self.driver.clock() + left
         if self.handover.gave:
-            await self.front.wait_moved(all_answered)
-            self.front.stop_listening()
+            await self.front.wait_moved(left)
+            await self.front.stop_listening()
         else:
             await asyncio.sleep(still_coming)
-            self.front.stop_listening()
+            await self.front.stop_listening()
             await asyncio.sleep(LAST_READ)
-            all_answered -= still_coming + LAST_READ
-            if self.duck.until is not None:  # no kill is due
+            left = max(left - still_coming - LAST_READ, 0.0)
+            if drained:
                 await self.wait_to_the_end(DRAINED_WITHIN, signal_ends=True)
-            await self.wait_to_the_end(all_answered)
+                self.driver.ends_at = self.driver.clock() + left
+            await self.wait_to_the_end(self.driver.ends_at - self.driver.clock())
+        self.driver.ends_at = self.driver.clock()  # what is read from here on is refused
         self.driver.rescue_all()
         self.front.close_idle()
         await asyncio.gather(self.front.wait_drained(LAST_BYTES), self.driver.settle(LAST_BYTES))
--- a/embersill/net/clients.py
+++ b/embersill/net/clients.py
@@ -35,6 +35,7 @@
 LINGER = 1.0  # seconds for a peer to read an error answer before its connection goes
 BACKLOG = 1024
 ACCEPT_AGAIN = 0.02  # seconds until the next try where no descriptor was left for a connection
+ACCEPT_ALL = 0.2  # seconds for all that waits to be accepted where no more will be: a full backlog, with room
 MAKE_WAY = 16  # peers that make way at one go: a flood comes faster than one at a time
 MOVE_AGAIN = 0.005  # seconds until the next try to hand a connection over: its last answer is still going out
 ACCEPTS = 64  # connections taken in at one go, so that those at hand get their turn
@@ -781,16 +782,18 @@
             self.again.cancel()
             self.again = self.loop.call_soon(self.resume)
 
-    def stop_listening(self) -> None:
-        """Takes in what already waits, then listens no more."""
+    async def stop_listening(self) -> None:
+        """Takes in all that already waits, then listens no more."""
+        end = self.clock() + ACCEPT_ALL
+        while self.listener is not None and self.successor is None and self.is_awaited():
+            if self.clock() >= end:
+                break
+            self.accept()
+            await asyncio.sleep(0.0 if self.has_room() else ACCEPT_AGAIN)
         if self.listener is not None:
             self.loop.remove_reader(self.listener)
-            if self.successor is None:
-                self.accept()
-            if self.listener is not None:
-                self.loop.remove_reader(self.listener)
-                self.listener.close()
-                self.listener = None
+            self.listener.close()
+            self.listener = None
 
     async def wait_moved(self, at_most: float) -> None:
         """Waits until every connection is the successor's, or at its end."""
--- a/embersill/net/driver.py
+++ b/embersill/net/driver.py
@@ -12,6 +12,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from math import inf
 from typing import Any, Protocol
 
 from embersill.control import Gateway
@@ -34,6 +35,9 @@
 # time starts with the last byte, and the clients' side ends what no longer moves
 LOOK_AGAIN = 0.005  # seconds between looks for the counter's last answers: its patience is some 30 ms
 SCANT = 0.25  # of the budget, at most, that these two may take
+LEAST_LEFT = 0.5  # seconds that a process which stops must have left for a request to be taken: with less it
+# would be sent on for an answer that comes too late, and a gateway that stays can serve it
+ELSEWHERE = b"Retry-After: 0.05\r\n"  # for a request that another gateway can take at once
 
 log = logging.getLogger("embersill")
 
@@ -93,6 +97,7 @@
         self.unanswered = 0
         self.counting = 0  # calls of the counter that were not told of yet
         self.taken = 0
+        self.ends_at = inf  # when all must be answered, once the process stops
         self.serving: set[str] = set()  # backends that the list shows as serving
         self.events: deque[tuple[Event, float]] = deque()
         self.handling = False
@@ -108,9 +113,14 @@
     # what happened
 
     def take(self, call: Call, exchange: Exchange) -> int:
-        """A client's request; its number is the module's name for it."""
+        """A client's request; its number is the module's name for it, and nought if it came too late."""
+        if self.ends_at - self.clock() < min(LEAST_LEFT, call.budget):
+            self.figures.answered(503, call.klass)
+            exchange.answer(503, b"", ELSEWHERE)
+            return 0
         self.taken += 1
         pending = Pending(self.taken, call, exchange)
+        pending.end = min(pending.end, self.ends_at - GUARD)
         self.pending[pending.number] = pending
         self.unanswered += 1
         if call.upload is None:
@@ -367,5 +377,11 @@
         self.post(Alone())
 
     def rescue_all(self) -> None:
+        """The process ends: what was never sent on is harmless to try again, and told so."""
         for pending in list(self.pending.values()):
-            self.rescue(pending)
+            if pending.attempts:
+                self.rescue(pending)
+            elif not pending.over:
+                self.finish(pending, 503, b"", ELSEWHERE)
+                self.post(ClientLeft(pending.number))
+                self.forget(pending)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -81,7 +81,7 @@
             assert first.driver.gateway.banned == {"b0", "b1"}
             await first.stop(0.0, 0.0)
             second.handover.close()  # as if it were killed: it gives nothing away
-            second.front.stop_listening()
+            await second.front.stop_listening()
             third = await bed.successor(env, folder)
             assert third.driver.gateway.banned == {"b0", "b1"}
             await third.stop(0.0, 0.0)
@@ -96,7 +96,7 @@
         async with running(env=env, folder=folder) as bed:
             second = await bed.successor(env, folder)
             assert bed.program.handover.gave
-            second.front.stop_listening()
+            await second.front.stop_listening()
             second.handover.close()
             async with asyncio.timeout(SOON):
                 while bed.program.handover.gave:
@@ -144,7 +144,7 @@
             async with asyncio.timeout(SOON):
                 while first.duck.until is None:
                     await asyncio.sleep(0.01)
-            second.front.stop_listening()
+            await second.front.stop_listening()
             second.handover.close()
             async with asyncio.timeout(SOON):
                 while first.handover.gave:
--- /dev/null
+++ b/tests/test_shutdown.py
@@ -0,0 +1,206 @@
+"""What comes in the instants of a shutdown, over loopback sockets: none taken is lost, none late is sent on.
+
+A crossing is forced by doing the client's part from inside the step of the shutdown that it crosses.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+
+from embersill.__main__ import BEFORE_KILL, KILL_AFTER, LONGEST_COUNTED, Program
+from embersill.lab.peers import Asked
+from embersill.net.clients import ACCEPTS, SETTLED
+from embersill.net.driver import LEAST_LEFT
+from tests.bed import READY, Bed, Client, request, roomy_settings, run, running
+from tests.peers import SOON
+
+Stop = Callable[[], Awaitable[None]]
+
+
+def settings_within(deadline: float) -> dict[str, Any]:
+    env = roomy_settings()
+    for service in env["services"]:
+        service["aim"] = service["deadline"] = 1000.0 * deadline
+    return env
+
+
+def with_bed(test: Callable[[Bed], Awaitable[None]], **more: Any) -> None:
+    async def inside() -> None:
+        async with running(**more) as bed:
+            await test(bed)
+
+    run(inside)
+
+
+def put(client: Client, text: bytes) -> None:
+    """Into the gateway's kernel, before its loop has another turn."""
+    os.write(client.writer.get_extra_info("socket").fileno(), text)
+
+
+def before(monkeypatch: pytest.MonkeyPatch, what: Any, name: str, crossing: Callable[[], None]) -> None:
+    """Has the crossing happen right before a step, the first time that it is taken."""
+    step, crossed = getattr(what, name), False
+
+    def stepped(*arguments: Any, **more: Any) -> Any:
+        nonlocal crossed
+        if not crossed:
+            crossed = True
+            crossing()
+        return step(*arguments, **more)
+
+    monkeypatch.setattr(what, name, stepped)
+
+
+async def silent(writer: Any, asked: Asked) -> None:
+    await asyncio.sleep(SOON)
+
+
+def refused_with_advice(answer: tuple[int, dict[str, str], bytes]) -> bool:
+    return answer[0] == 503 and float(answer[1]["retry-after"]) > 0
+
+
+@pytest.mark.parametrize("step", ["rescue_all", "settle"])
+def test_a_request_read_after_the_last_moment_is_refused_and_not_sent_on(
+    step: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("embersill.net.clients.SETTLED", 60.0)  # it is not closed as an idle one
+
+    async def test(bed: Bed) -> None:
+        client = await bed.client()
+        assert (await client.ask(request(1)))[0] == 200
+        before(monkeypatch, bed.program.driver, step, lambda: put(client, request(2)))
+        await bed.program.stop(0.0, 0.0)
+        assert refused_with_advice(await client.answer())
+        assert len(bed.seen()) == 1
+
+    with_bed(test)
+
+
+def test_a_request_that_comes_too_late_to_be_served_is_refused_while_others_are_served() -> None:
+    async def test(bed: Bed) -> None:
+        first, late, last = [await bed.client() for _ in range(3)]
+        for client in (first, late, last):
+            assert (await client.ask(READY))[0] == 200
+        bed.program.front.stopping = True
+        driver, clock = bed.program.driver, bed.program.driver.clock
+        driver.ends_at = clock() + 60.0
+        assert (await first.ask(request(1)))[0] == 200
+        driver.ends_at = clock() + LEAST_LEFT / 2
+        assert refused_with_advice(await late.ask(request(2))) and await late.closed()
+        assert len(bed.seen()) == 1 and not driver.pending
+        body = b"x" * 100_000  # the same for one whose body is passed on as it comes
+        assert refused_with_advice(await last.ask(request(3, "extract", body=body)))
+        assert len(bed.seen()) == 1
+
+    with_bed(test)
+
+
+@pytest.mark.parametrize("deadline", [0.4, 1.0, 30.0])
+def test_all_is_answered_before_the_kill_that_the_settings_deadlines_allow(deadline: float) -> None:
+    """With deadlines of 1 s the kill may come 1.7 s after SIGTERM; the end took up to 3.4 s."""
+    async def test(bed: Bed) -> None:
+        program = bed.program
+        kill = min(deadline, LONGEST_COUNTED) + KILL_AFTER
+        assert program.all_answered == pytest.approx(kill - BEFORE_KILL)
+        bed.backends[0].script = [silent] * 100
+        clients = [await bed.client() for _ in range(2)]
+        clients[0].send(request(1, budget=deadline))
+        await bed.backends[0].until(lambda: len(bed.backends[0].seen) == 1)
+        began = time.monotonic()
+        stop = asyncio.create_task(program.stop(0.05))
+        await asyncio.sleep(0.04)
+        clients[1].send(request(2, budget=deadline))
+        answers = [await client.answer() for client in clients]
+        assert all(status in (429, 502, 503, 504) for status, _, _ in answers)
+        assert time.monotonic() - began < kill
+        await stop
+        assert time.monotonic() - began < kill + 0.3
+
+    with_bed(test, env=settings_within(deadline))
+
+
+def test_a_held_request_at_the_end_is_refused_and_one_that_may_have_run_is_failed() -> None:
+    async def test(bed: Bed) -> None:
+        bed.backends[0].script = [silent] * 2
+        out, held = await bed.client(), await bed.client()
+        out.send(request(1, budget=60.0))
+        await bed.backends[0].until(lambda: len(bed.backends[0].seen) == 1)
+        gateway = bed.program.driver.gateway
+        gateway.throttles.clear()
+        plan = gateway.plans["pro"]
+        throttle = gateway.throttles["00000000000000c2"] = gateway.new_throttle("00000000000000c2", plan, 2)
+        throttle.level = 0.0
+        throttle.thin = False
+        held.send(request(2, budget=60.0, plan="pro", customer="00000000000000c2", units="0.1"))
+        while not throttle.queue:
+            await asyncio.sleep(0)
+        await bed.program.stop(0.0, 0.0)
+        assert (await out.answer())[0] == 504
+        assert refused_with_advice(await held.answer()) and len(bed.seen()) == 1
+
+    env = settings_within(60.0)
+    env["domain"]["counter"] = False
+    with_bed(test, env=env)
+
+
+def test_all_that_waits_to_be_accepted_at_the_end_is_taken_in() -> None:
+    """A listener that closes resets what waits; 64 connections were taken in and the others lost."""
+    async def test(bed: Bed) -> None:
+        front = bed.program.front
+        front.pause_accepting()
+        clients = [await bed.client() for _ in range(3 * ACCEPTS)]
+        for client in clients:
+            put(client, READY)
+        await front.stop_listening()
+        answers = await asyncio.gather(*(client.answer() for client in clients))
+        assert [status for status, _, _ in answers] == [200] * len(clients)
+
+    with_bed(test, sockets=4096)
+
+
+def test_a_request_that_crosses_the_close_of_an_idle_connection_is_served(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def test(bed: Bed) -> None:
+        client = await bed.client()
+        assert (await client.ask(request(1)))[0] == 200
+        await asyncio.sleep(2 * SETTLED)
+        before(monkeypatch, bed.program.front, "close_unasked", lambda: put(client, request(2)))
+        await bed.program.stop(0.0, 2.0)
+        status, headers, _ = await client.answer()
+        assert status == 200 and headers["connection"] == "close" and len(bed.seen()) == 2
+
+    with_bed(test)
+
+
+def test_half_a_request_at_the_end_is_neither_served_nor_waited_for() -> None:
+    async def test(bed: Bed) -> None:
+        client, other = await bed.client(), await bed.client()
+        client.send(request(1)[:60])
+        while not any(c.in_request for c in bed.program.front.connections):
+            await asyncio.sleep(0)
+        other.send(request(2, budget=0.3))
+        await bed.program.stop(0.05, 0.4)
+        assert (await other.answer())[0] == 200 and len(bed.seen()) == 1
+
+    with_bed(test)
+
+
+def test_a_second_signal_in_the_end_changes_nothing() -> None:
+    async def test(bed: Bed) -> None:
+        program: Program = bed.program
+        client = await bed.client()
+        client.send(request(1))
+        stop = asyncio.create_task(program.stop(0.05, 1.0))
+        program.end()
+        program.reload()
+        assert (await client.answer())[0] == 200
+        await stop
+
+    with_bed(test)
