Write a keyed repeat within its window or not at all

Cause: the module checks the window for repeats when it decides (may_send), but the attempt could wait for its connection for longer than the window had left: a dial that comes up late, a line behind other attempts. It was then written after the window had passed, which forbids it. Ruled out: the module's own check, and the time of the first attempt, which is taken before its write and so on the safe side. Change: Send carries the seconds within which it must be written; an attempt that waits past them ends as one that never ran, also where its connection comes up between the end and its timer, or the kernel has not taken all of it.

--- a/embersill/control.py
+++ b/embersill/control.py
@@ -692,8 +692,12 @@
         job.throttle.open += 1
         job.out += 1
         job.attempts.append(attempt)
+        within = inf
+        if job.risky is not None and job.klass.repeats is Repeats.BY_KEY:
+            within = job.risky.sent + job.klass.memory - self.now
         job.risky = job.risky or attempt
-        self.actions.append(Send(job.request.id, server.backend.address, self.useful_until(job) - self.now))
+        useful = self.useful_until(job) - self.now
+        self.actions.append(Send(job.request.id, server.backend.address, useful, within))
         if not job.uploading:
             self.time_late(job, len(job.attempts) - 1)
 
--- a/embersill/interface.py
+++ b/embersill/interface.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum
+from math import inf
 from typing import Any
 
 
@@ -263,6 +264,7 @@
     request: int
     backend: str
     timeout: float
+    within: float = inf  # seconds in which it must be written whole, or not at all: a repeat's window
 
 
 @dataclass(frozen=True, slots=True)
--- a/embersill/net/backends.py
+++ b/embersill/net/backends.py
@@ -10,6 +10,7 @@
 import errno
 from collections.abc import Callable
 from dataclasses import dataclass
+from math import inf
 from typing import cast
 
 import httptools
@@ -44,16 +45,18 @@
 
     __slots__ = (
         "backend", "body", "connection", "done", "ended", "head", "passing", "patience", "pool", "sent_at",
-        "timer", "until", "upload",
+        "timer", "until", "upload", "write_by",
     )
 
     def __init__(
         self, backend: str, head: bytes, body: bytes, sent_at: float, until: float,
         done: Callable[[Attempt, Answer], None], passing: Passing, upload: Upload | None = None,
+        write_by: float = inf,
     ) -> None:
         # passing: asked where an answer goes that is passed on as it comes, with its headers and length
         self.passing, self.upload = passing, upload
         self.patience = until - sent_at  # from the last byte of a body that is passed on
+        self.write_by = write_by  # it is written whole by then, or ends
         self.backend, self.head, self.body = backend, head, body
         self.sent_at, self.until, self.done = sent_at, until, done
         self.connection: BackendConnection | None = None
@@ -88,7 +91,9 @@
     def time_out(self) -> None:
         # one that still waits for its connection was never written, so it is known not to have run
         connection, pool = self.connection, self.pool
-        if connection is not None:
+        if connection is not None and not connection.counted:
+            self.end(Answer(Outcome.NO_CONNECTION))  # nor one of which the kernel has not taken all
+        elif connection is not None:
             self.end(Answer(Outcome.TIMED_OUT))
             # a machine that is cut off leaves its kept connections open and silent: what is written to them
             # may have run, while an open that does not come up is known not to have
@@ -155,11 +160,16 @@
             if upload is not None:
                 attempt.sent_at = self.pool.clock()
                 attempt.until = attempt.sent_at + attempt.patience
-                attempt.timer = self.dialer.loop.call_later(attempt.patience, attempt.time_out)
+            if upload is not None or attempt.write_by < attempt.until:
+                self.dialer.set_timer(attempt, attempt.until)
 
     def carry(self, attempt: Waiter, wait: float) -> None:
         assert self.transport is not None and isinstance(attempt, Attempt)
-        self.attempt, attempt.connection, attempt.pool = attempt, self, None
+        attempt.pool = None
+        if self.pool.clock() >= attempt.write_by:  # its timer is due, and this came before it
+            self.pool.put_back(self)
+            return attempt.end(Answer(Outcome.NOT_SENT))
+        self.attempt, attempt.connection = attempt, self
         self.start_answer()
         self.counted, self.moved_at = False, self.pool.clock()
         self.transport.write(b"%bX-Budget: %.3f\r\n\r\n%b" % (attempt.head, wait, attempt.body))
@@ -375,11 +385,16 @@
 
     def start(self, attempt: Attempt) -> None:
         if attempt.upload is None:  # else its time begins with the last byte
-            left = max(attempt.until - self.pool.clock(), 0.0)
-            attempt.timer = self.loop.call_later(left, attempt.time_out)
+            self.set_timer(attempt, min(attempt.until, attempt.write_by))
         attempt.pool = self.pool
         self.pool.start(attempt)
 
+    def set_timer(self, attempt: Attempt, end: float) -> None:
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+        left = max(end - self.pool.clock(), 0.0)
+        attempt.timer = self.loop.call_later(left, attempt.time_out)
+
     def open(self, backend: str, address: Address) -> Link:
         made = BackendConnection(self, self.pool, backend)
         made.dial = self.loop.create_task(self.connect(made, address))
--- a/embersill/net/driver.py
+++ b/embersill/net/driver.py
@@ -238,7 +238,7 @@
             action.backend, pending.call.head, pending.call.body, now, until,
             lambda attempt, answer: self.attempt_ended(pending, place, attempt, answer),
             lambda attempt, headers, length: self.passing(pending, place, headers, length),
-            pending.call.upload,
+            pending.call.upload, now + action.within,
         )
         pending.attempts.append(attempt)
         pending.out += 1
