--- a/embersill/net/pool.py
+++ b/embersill/net/pool.py
@@ -440,4 +440,4 @@
                 link.shut()
 
     def idle(self) -> int:
-        return sum(len(p.idle) for p in self.places.values())
+        return sum(len(p.idle) + p.resting for p in self.places.values())
