Look for unread bytes before a silent or idle client's connection is closed

Cause: Front.make_room and the end of peers that never asked closed over bytes that the loop had not read: a request that came between two turns got a reset. Ruled out: close_unasked, which looks already, and lingering connections, whose peers had their last answer.

--- a/embersill/net/clients.py
+++ b/embersill/net/clients.py
@@ -439,7 +439,7 @@
             return None
         if self.in_request:
             self.break_off(408, "the request did not come whole")
-        elif not self.asked:
+        elif not (self.asked or self.has_unread()):
             self.leave()
         return None
 
@@ -760,7 +760,8 @@
         peers = [c for c in idle if c.closing or not c.served]
         most = MAKE_WAY if peers else 1
         for connection in heapq.nsmallest(most, peers or idle, lambda c: (not c.closing, c.idle_since)):
-            connection.leave()
+            if connection.closing or not connection.has_unread():  # a close would cross a request
+                connection.leave()
 
     def pause(self) -> None:
         """Leaves connections in the kernel's queue, where nothing is lost, until there is room again."""
