Force the crossings of a hand-over, and keep the tests' crossing tools in one place

A request, or a request and its client's end, that comes right before the state is given or the connection goes over: one answer, and no id reaches a backend twice. It held before; the test keeps it.

--- a/tests/bed.py
+++ b/tests/bed.py
@@ -10,6 +10,7 @@
 from contextlib import asynccontextmanager, contextmanager
 from typing import Any
 
+import pytest
 import uvloop
 
 from embersill.__main__ import Program, build_configuration
@@ -61,6 +62,10 @@
     def send(self, text: bytes) -> None:
         self.writer.write(text)
 
+    def put(self, text: bytes) -> None:
+        """Into the gateway's kernel, before its loop has another turn."""
+        os.write(self.writer.get_extra_info("socket").fileno(), text)
+
     async def answer(self) -> tuple[int, dict[str, str], bytes]:
         async with asyncio.timeout(SOON):
             first, headers, body = await read_message(self.reader)
@@ -80,6 +85,20 @@
             return await self.reader.read(1) == b""
 
 
+def before(monkeypatch: pytest.MonkeyPatch, what: Any, name: str, crossing: Callable[[], None]) -> None:
+    """Has the crossing happen right before a step, the first time that it is taken."""
+    step, crossed = getattr(what, name), False
+
+    def stepped(*arguments: Any, **more: Any) -> Any:
+        nonlocal crossed
+        if not crossed:
+            crossed = True
+            crossing()
+        return step(*arguments, **more)
+
+    monkeypatch.setattr(what, name, stepped)
+
+
 @contextmanager
 def no_descriptors() -> Iterator[None]:
     """None is to be had in this process meanwhile."""
@@ -187,3 +206,11 @@
             await bed.program.stop(0.0, 0.0)
         for peer in (*bed.backends, bed.discovery, bed.counter):
             await peer.stop()
+
+
+def with_bed(test: Callable[[Bed], Awaitable[None]], **more: Any) -> None:
+    async def inside() -> None:
+        async with running(**more) as bed:
+            await test(bed)
+
+    run(inside)
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -16,7 +16,8 @@
 from embersill.net.backends import BackendConnection, Dialer
 from embersill.net.clients import LOOK_FOR_ENDS_EVERY, MOST_PIPELINED, ClientConnection
 from embersill.net.pool import Address
-from tests.bed import Bed, Client, request, roomy_settings, run, running
+from tests.bed import Bed, Client, request, roomy_settings
+from tests.bed import with_bed as with_any_bed
 from tests.peers import serve
 
 NOTICED_WITHIN = 0.1  # seconds from a client's end after which no attempt may begin, by the terms
@@ -36,11 +37,7 @@
 
 
 def with_bed(test: Callable[[Bed], Awaitable[None]], **more: Any) -> None:
-    async def inside() -> None:
-        async with running(**{"env": patient_settings(), **more}) as bed:
-            await test(bed)
-
-    run(inside)
+    with_any_bed(test, **{"env": patient_settings(), **more})
 
 
 async def gone(bed: Bed) -> None:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -14,8 +14,8 @@
 from embersill.__main__ import Program
 from embersill.interface import Alone, Inherit, ListKind, Outcome, Refuse, Request, Send, Suspend, TimerDue
 from embersill.lab.peers import Asked
-from embersill.net.handover import LINK, STATE
-from tests.bed import READY, Bed, request, roomy_settings, run, running
+from embersill.net.handover import LINK, STATE, Handover
+from tests.bed import READY, Bed, before, request, roomy_settings, run, running
 from tests.helpers import CAPPED, backend, backends, ended, gateway
 from tests.helpers import request as asked_for
 from tests.peers import SOON, serve
@@ -308,3 +308,39 @@
     assert (new.flight, new.servers["a"].flight, new.throttles["c"].open) == (0, 0, 0)
 
 
+
+
+@pytest.mark.parametrize("step", ["give", "move"])
+@pytest.mark.parametrize("then", ["stays", "leaves"])
+def test_a_request_that_comes_as_its_connection_is_handed_over_is_answered_once(
+    step: str, then: str, tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """What is in the kernel goes over unread; the end of a client that went is the successor's to see."""
+    async def test() -> None:
+        env, folder = roomy_settings(), str(tmp_path)
+        async with running(env=env, folder=folder) as bed:
+            client = await bed.client()
+            assert (await client.ask(request(1)))[0] == 200
+
+            def cross() -> None:
+                client.put(request(2))
+                if then == "leaves":
+                    client.reset()
+
+            before(monkeypatch, Handover, step, cross)
+            second = await bed.successor(env, folder)
+            if then == "stays":
+                status, headers, _ = await client.answer()
+                assert status == 200 or status == 429 and float(headers["retry-after"]) > 0
+                assert len(bed.seen()) == 1 + (status == 200)
+            stopped = asyncio.create_task(bed.program.stop(0.0, 1.0))
+            await stopped
+            other = await bed.client()
+            assert (await other.ask(request(3)))[0] == 200
+            ids = [headers["x-call-id"] for _, headers, _ in bed.seen()]
+            assert len(ids) == len(set(ids))
+            while second.driver.unanswered:
+                await asyncio.sleep(0.001)
+            await second.stop(0.0, 0.0)
+
+    run(test)
--- a/tests/test_idle.py
+++ b/tests/test_idle.py
@@ -7,31 +7,17 @@
 import pathlib
 import socket
 import time
-from collections.abc import Awaitable, Callable
 
 import pytest
 
 from embersill.lab.peers import HOST, free_port
 from embersill.net.clients import READ_WITHIN
-from tests.bed import READY, Bed, Client, request, run, running
+from tests.bed import READY, Bed, request, run, with_bed
 from tests.test_program import ROOT, RUN, drained, process, until_ready
 
 READY_WITHIN = 10.0  # seconds in which a restarted gateway has to be ready, by the terms
 
 
-def with_bed(test: Callable[[Bed], Awaitable[None]]) -> None:
-    async def inside() -> None:
-        async with running() as bed:
-            await test(bed)
-
-    run(inside)
-
-
-def put(client: Client, text: bytes) -> None:
-    """Into the gateway's kernel, before its loop has another turn."""
-    os.write(client.writer.get_extra_info("socket").fileno(), text)
-
-
 def test_a_request_that_comes_as_a_silent_connection_is_closed_is_served() -> None:
     async def test(bed: Bed) -> None:
         front, clock = bed.program.front, bed.program.front.clock
@@ -39,7 +25,7 @@
         while not front.connections:
             await asyncio.sleep(0)
         front.clock = lambda: clock() + READ_WITHIN
-        put(client, request(1))
+        client.put(request(1))
         front.look()
         front.clock = clock
         assert (await client.answer())[0] == 200
@@ -53,7 +39,7 @@
         client = await bed.client()
         assert (await client.ask(request(1)))[0] == 200
         front.clock = lambda: clock() + 60.0
-        put(client, request(2))
+        client.put(request(2))
         front.make_room()
         front.clock = clock
         assert (await client.answer())[0] == 200
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -6,9 +6,7 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import time
-from collections.abc import Awaitable, Callable
 from typing import Any
 
 import pytest
@@ -17,12 +15,9 @@
 from embersill.lab.peers import Asked
 from embersill.net.clients import ACCEPTS, SETTLED
 from embersill.net.driver import LEAST_LEFT
-from tests.bed import READY, Bed, Client, request, roomy_settings, run, running
+from tests.bed import READY, Bed, before, request, roomy_settings, with_bed
 from tests.peers import SOON
 
-Stop = Callable[[], Awaitable[None]]
-
-
 def settings_within(deadline: float) -> dict[str, Any]:
     env = roomy_settings()
     for service in env["services"]:
@@ -30,33 +25,6 @@
     return env
 
 
-def with_bed(test: Callable[[Bed], Awaitable[None]], **more: Any) -> None:
-    async def inside() -> None:
-        async with running(**more) as bed:
-            await test(bed)
-
-    run(inside)
-
-
-def put(client: Client, text: bytes) -> None:
-    """Into the gateway's kernel, before its loop has another turn."""
-    os.write(client.writer.get_extra_info("socket").fileno(), text)
-
-
-def before(monkeypatch: pytest.MonkeyPatch, what: Any, name: str, crossing: Callable[[], None]) -> None:
-    """Has the crossing happen right before a step, the first time that it is taken."""
-    step, crossed = getattr(what, name), False
-
-    def stepped(*arguments: Any, **more: Any) -> Any:
-        nonlocal crossed
-        if not crossed:
-            crossed = True
-            crossing()
-        return step(*arguments, **more)
-
-    monkeypatch.setattr(what, name, stepped)
-
-
 async def silent(writer: Any, asked: Asked) -> None:
     await asyncio.sleep(SOON)
 
@@ -74,7 +42,7 @@
     async def test(bed: Bed) -> None:
         client = await bed.client()
         assert (await client.ask(request(1)))[0] == 200
-        before(monkeypatch, bed.program.driver, step, lambda: put(client, request(2)))
+        before(monkeypatch, bed.program.driver, step, lambda: client.put(request(2)))
         await bed.program.stop(0.0, 0.0)
         assert refused_with_advice(await client.answer())
         assert len(bed.seen()) == 1
@@ -156,7 +124,7 @@
         front.pause_accepting()
         clients = [await bed.client() for _ in range(3 * ACCEPTS)]
         for client in clients:
-            put(client, READY)
+            client.put(READY)
         await front.stop_listening()
         answers = await asyncio.gather(*(client.answer() for client in clients))
         assert [status for status, _, _ in answers] == [200] * len(clients)
@@ -171,7 +139,7 @@
         client = await bed.client()
         assert (await client.ask(request(1)))[0] == 200
         await asyncio.sleep(2 * SETTLED)
-        before(monkeypatch, bed.program.front, "close_unasked", lambda: put(client, request(2)))
+        before(monkeypatch, bed.program.front, "close_unasked", lambda: client.put(request(2)))
         await bed.program.stop(0.0, 2.0)
         status, headers, _ = await client.answer()
         assert status == 200 and headers["connection"] == "close" and len(bed.seen()) == 2
