Greet a restored backend no faster than chance allows over the fleet

Ruled out: the calls of those that have a place there, which keep their budget. Idle gateways greet by the old pace: with no requests they send nothing.

--- a/embersill/control.py
+++ b/embersill/control.py
@@ -38,7 +38,7 @@
 FAILING = 2.0  # from which nothing is sent while another serves: a second failure in a row, no lone time-out
 TRY_EVERY = 1.0  # seconds after a failure from which a failing one is tried again where no other has room
 SHUN = 0.5  # what is held against a backend from which another draw is made in its place
-GREETINGS = 12.0  # first requests a second for a restored backend, of all gateways together, as it is cold
+GREETINGS = 12.0  # first requests a second for a restored backend, of all gateways together, at the most
 GREET_EVERY = 1.0  # seconds between the lone requests for a restored backend, until it has answered one
 FULL_FOR = 15.0  # seconds a backend that turned a plan or a class away is passed over for it
 LATE_AT = 0.35  # of the aim from which an answer counts as late: short queues don't push a backend over
@@ -611,7 +611,7 @@
             if server is not None and due <= self.now and not job.attempts:
                 self.drawn = server
                 if self.may_send(job, server):
-                    self.greet[address] = self.now + GREET_EVERY
+                    self.greet[address] = self.now + max(GREET_EVERY, self.greeting_round())
                     return server
         return None
 
@@ -649,9 +649,20 @@
 
     def cold_places(self, share: float) -> int:
         """Gateways that use a cold backend: the one call that each may round up by must be within chance."""
-        chance = SURE_PLACES + 2.0 * sqrt(self.cold_calls(share) * self.settings.gateways)
+        chance = self.cold_chance(share)
         return max(1, min(self.settings.gateways, ceil(COLD_LIMIT * share), int(chance)))
 
+    def cold_chance(self, share: float) -> float:
+        """Calls above the budget of all gateways, in the rule's window, that are put down to chance."""
+        return SURE_PLACES + 2.0 * sqrt(self.cold_calls(share) * self.settings.gateways)
+
+    def greeting_round(self) -> float:
+        """Seconds in which all gateways greet a restored, cold backend once: no more than is chance."""
+        pace = GREETINGS
+        if self.paced > 0 and self.settings.overload_for > 0:
+            pace = min(pace, self.cold_chance(self.settings.cold_from) / self.settings.overload_for)
+        return self.settings.gateways / pace
+
     def cold_calls(self, share: float) -> float:
         """This gateway's even part of what the rule allows a cold backend in its window.
 
@@ -1019,7 +1030,8 @@
             self.actions.append(HangUp(address))
         elif isinstance(event, Restore) and address in self.banned:
             self.banned.discard(address)
-            self.greet[address] = self.now + place_at(address, self.settings) / GREETINGS
+            place = place_at(address, self.settings) / self.settings.gateways
+            self.greet[address] = self.now + place * self.greeting_round()
             if server is not None:
                 self.servers[address] = self.unknown(server.backend)
                 self.servers[address].started = self.now
--- a/tests/test_cold_ramp.py
+++ b/tests/test_cold_ramp.py
@@ -16,8 +16,8 @@
 
 from embersill.control import Gateway
 from embersill.interface import (
-    AttemptEnded, Event, ListKind, Outcome, Repeats, Request, RequestClass, Scope, Send, SetTimer, Settings,
-    TimerDue,
+    AttemptEnded, Event, ListKind, Outcome, Repeats, Request, RequestClass, Restore, Scope, Send, SetTimer,
+    Settings, Suspend, TimerDue,
 )
 from tests.helpers import OPEN, SETTINGS, backend, backends
 
@@ -192,6 +192,26 @@
     assert max(made.over("cold0"), made.over("cold1")) <= 0
 
 
+@pytest.mark.parametrize("gateways", [3, 14, 30, 200])
+@pytest.mark.parametrize("how", ["errors", "short work", "work", "silence"])
+def test_the_budget_holds_for_a_backend_that_staff_restore(how: str, gateways: int) -> None:
+    """It was restarted meanwhile, and each gateway owes it a first request."""
+    many = max(gateways, 12)
+    made = Fleet(gateways, SITE)
+    made.list([], [f"w{n}" for n in range(many)])
+    made.ask(USED * WORKS * many, ENDS)
+    made.play(102.0)
+    for node in made.nodes:
+        node.handle(Suspend("w0"), 102.0)
+    made.play(STARTS)
+    made.sent.pop("w0", None)
+    made.ends["w0"] = lambda dice: FAST[how]
+    for node in made.nodes:
+        node.handle(Restore("w0"), STARTS)
+    made.play(ENDS)
+    assert made.over("w0") <= 0 and made.sent["w0"]
+
+
 @pytest.mark.parametrize(("multiple", "window"), [(1.2, 0.5), (1.5, 1.0), (3.0, 4.0)])
 @pytest.mark.parametrize("gateways", [1, 3, 30])
 @pytest.mark.parametrize("how", ["errors", "short work", "work"])
