Bear a fleet that has nothing of its capacity yet

Found in reading the cold budget again: with cold_from of nought and all backends started in this moment their capacity is nought, and what a warm one does was divided by it (ZeroDivisionError).

--- a/embersill/control.py
+++ b/embersill/control.py
@@ -564,7 +564,7 @@
             return pool[int(self.random.random() * len(pool))]
         if self.now >= self.weigh_at:
             self.weigh_at = self.now + WEIGH_EVERY
-            self.capacity = sum(s.cold_share(self.now, self.settings) for s in pool)
+            self.capacity = max(sum(s.cold_share(self.now, self.settings) for s in pool), EPS)
             self.weights = list(accumulate(self.weigh(pool)))
         total = self.weights[-1]
         if total <= 0:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -199,6 +199,18 @@
     assert 1 <= sum(isinstance(a, Send) for actions in tries for a in actions) <= 20
 
 
+def test_a_fleet_that_starts_with_nothing_of_its_capacity_is_used_too() -> None:
+    made = gateway(listed=backends(backend("a", started=100.0)), cold_from=0.0)
+    sent = 0
+    for number in range(40):
+        now = 100.0 + number / 4
+        actions = made.handle(request(number, customer=f"x{number}", deadline=now + 4.0), now)
+        for action in [a for a in actions if isinstance(a, Send)]:
+            sent += 1
+            made.handle(ended(number, 0, action.backend, Outcome.SERVED), now)
+    assert 1 <= sent
+
+
 def test_late_events_for_ended_requests_are_ignored() -> None:
     made = gateway()
     assert made.handle(ended(9, 0, "a", Outcome.SERVED), 100.0) == []
