--- a/embersill/net/bodies.py
+++ b/embersill/net/bodies.py
@@ -20,8 +20,11 @@
 
 def is_readable(sock: Socket) -> bool:
     """True where the kernel holds something that was not read yet: bytes, an end, a caller that waits."""
+    descriptor = sock.fileno()
+    if descriptor < 0:  # closed here: that is an end too
+        return True
     waiting = select.poll()
-    waiting.register(sock.fileno(), select.POLLIN)
+    waiting.register(descriptor, select.POLLIN)
     return bool(waiting.poll(0))
 
 
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -4,11 +4,12 @@
 
 import asyncio
 import random
+import socket
 
 import pytest
 
 from embersill.lab.peers import Asked, message, read_message
-from embersill.net.bodies import READ, WHOLE
+from embersill.net.bodies import READ, WHOLE, is_readable
 from embersill.net.clients import READ_WITHIN, SLOWEST
 from tests.bed import Bed, Client, links, request, roomy_settings, run, running
 from tests.peers import SOON, serve
@@ -264,3 +265,11 @@
             assert (await client.answer())[0] == 200
 
     run(test)
+
+
+def test_a_socket_that_is_closed_holds_an_end() -> None:
+    sock, other = socket.socketpair()
+    assert not is_readable(sock)
+    sock.close()
+    other.close()
+    assert is_readable(sock)
