Bear a closed socket in ended_unread as in its twin, and share a test's closing steps

Found in reading the change again: is_readable took a descriptor of -1 for an end, and ended_unread beside it raised ValueError on one, which would have stopped the looks for ends. The test of the first now asks both.

--- a/embersill/net/bodies.py
+++ b/embersill/net/bodies.py
@@ -30,11 +30,14 @@
 
 def ended_unread(descriptors: Iterable[int]) -> list[int]:
     """Those of the sockets whose other end has closed or reset, also behind bytes that were not read yet."""
-    waiting = select.poll()
+    waiting, ended = select.poll(), []
     for descriptor in descriptors:
-        waiting.register(descriptor, select.POLLRDHUP)
+        if descriptor < 0:  # closed here, as in is_readable
+            ended.append(descriptor)
+        else:
+            waiting.register(descriptor, select.POLLRDHUP)
     ends = select.POLLRDHUP | select.POLLHUP | select.POLLERR
-    return [descriptor for descriptor, told in waiting.poll(0) if told & ends]
+    return ended + [descriptor for descriptor, told in waiting.poll(0) if told & ends]
 
 
 class Sink(Protocol):
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -9,7 +9,7 @@
 import pytest
 
 from embersill.lab.peers import Asked, message, read_message
-from embersill.net.bodies import READ, WHOLE, is_readable
+from embersill.net.bodies import READ, WHOLE, ended_unread, is_readable
 from embersill.net.clients import READ_WITHIN, SLOWEST
 from tests.bed import Bed, Client, links, request, roomy_settings, run, running
 from tests.peers import SOON, serve
@@ -272,4 +272,4 @@
     assert not is_readable(sock)
     sock.close()
     other.close()
-    assert is_readable(sock)
+    assert is_readable(sock) and ended_unread([sock.fileno()]) == [-1]
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -58,6 +58,15 @@
     assert bed.program.driver.figures.others["client left"] >= 1
 
 
+async def only_first_is_served(bed: Bed, first: Client, free: asyncio.Event) -> None:
+    """Waits until the other's request is over, then lets the first one's backend answer."""
+    while bed.program.driver.unanswered > 1:
+        await asyncio.sleep(0)
+    free.set()
+    assert (await first.answer())[0] == 200
+    await nothing_more(bed, 1)
+
+
 async def held_at_backend(bed: Bed, client: Client, number: int) -> asyncio.Event:
     """A request that its backend answers once the event is set."""
     free, seen = asyncio.Event(), len(bed.seen())
@@ -149,11 +158,7 @@
         while not any(p.waiting for p in bed.program.dialer.pool.places.values()):
             await asyncio.sleep(0)
         WAYS[way](second)
-        while bed.program.driver.unanswered > 1:
-            await asyncio.sleep(0)
-        free.set()
-        assert (await first.answer())[0] == 200
-        await nothing_more(bed, 1)
+        await only_first_is_served(bed, first, free)
 
     with_bed(test)
 
@@ -255,11 +260,7 @@
         while not any(c.paused for c in bed.program.front.connections):
             await asyncio.sleep(0)
         client.writer.transport.abort()
-        while bed.program.driver.unanswered > 1:
-            await asyncio.sleep(0)
-        free.set()
-        assert (await first.answer())[0] == 200
-        await nothing_more(bed, 1)
+        await only_first_is_served(bed, first, free)
 
     with_bed(test)
 
