Read a message's framing in one place, for clients, backends and discovery

At fault: `on_header` in net/backends.py, `int(value) if value.isdigit() else None`; the parser leaves white space behind a value. net/clients.py read Content-Length and Transfer-Encoding in the same manner: a body over 64 KiB with such a length was taken for one without, and a coding with tabs round it got a 400.

Change: net/framing.py reads lengths and codings for all three; heads are normalized before the parser where they have an allowed spelling that it refuses (equal repeated lengths, lists, tabs). Both or an unknown coding: the attempt is broken, the request gets 400 or 501 and a close. Discovery's answers that end with the connection are read, and interim ones passed over.

--- a/embersill/net/backends.py
+++ b/embersill/net/backends.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import errno
+import re
 from collections.abc import Callable
 from dataclasses import dataclass
 from math import inf
@@ -17,6 +18,7 @@
 
 from embersill.interface import Outcome, PoolSettings
 from embersill.net.bodies import READ, WHOLE, Sink, Upload, is_readable
+from embersill.net.framing import AnswerFeeder, BadFraming, FramingFields
 from embersill.net.pool import Address, Failure, Link, Pool, Waiter
 
 PASS_AFTER = 0.2  # seconds from which an answer of unknown length goes on, though it may turn out a short one
@@ -25,6 +27,8 @@
 REST = 0.01  # seconds after an answer until its connection carries the next attempt: a second answer may come
 # some milliseconds late, and would pass for the next attempt's
 SWEEP_EVERY = 1.0  # seconds between looks for idle connections
+UNITS = re.compile(rb"\+?(\d{1,30}\.?\d{0,30}|\.\d{1,30})([eE][+-]?\d{1,3})?")
+MOST_UNITS = 1e6  # that an answer may bill
 # what a connection fails with where the lack is here and not at the backend
 LOCAL = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL))
 
@@ -117,14 +121,17 @@
         self.counted = False  # the request was written whole
         self.moved_at = 0.0  # when bytes last came or were taken
         self.parser = httptools.HttpResponseParser(self)
+        self.feeder = AnswerFeeder(self.parser.feed_data)
         self.start_answer()
 
     def start_answer(self) -> None:
         self.parts: list[bytes] = []
         self.size, self.units, self.headers, self.status = 0, 0.0, b"", 0
         self.in_head, self.head_size, self.trailers = True, 0, 0
+        self.feeder.start()
+        self.fields = FramingFields()
         self.length: int | None = None  # of the answer's body, where its head tells
-        self.chunked = self.to_the_end = self.unwanted = self.paused = False
+        self.to_the_end = self.unwanted = self.paused = self.badly_framed = False
         self.sink: Sink | None = None  # where the answer goes on to while it comes
         self.rejected = self.complete = self.keep = self.surplus = self.garbled = False
 
@@ -225,14 +232,12 @@
         name = name.lower()
         if name == b"x-rejected":
             self.rejected = value.strip() == b"1"
-        elif name == b"content-length":
-            self.length = int(value) if value.isdigit() else None
-        elif name == b"transfer-encoding":
-            self.chunked = True
         elif name == b"billed-units":
             self.units = read_units(value)
         elif name in (b"content-type", b"content-encoding"):
             self.headers += b"%b: %b\r\n" % (name.title(), value)
+        else:
+            self.fields.add(name, value)
 
     def on_headers_complete(self) -> None:
         if self.complete:
@@ -240,15 +245,21 @@
         self.in_head = 100 <= self.parser.get_status_code() < 200
         if self.in_head:  # the real answer's head follows, and this one's lines are none of its
             self.rejected, self.units, self.headers = False, 0.0, b""
-            self.length, self.chunked = None, False
+            self.fields = FramingFields()
             return
         self.status = self.parser.get_status_code()
-        self.to_the_end = self.length is None and not self.chunked and self.status not in (204, 304)
+        try:
+            framing = self.fields.read()
+        except BadFraming:
+            self.badly_framed = True
+            return
+        self.length = framing.length
+        self.to_the_end = self.length is None and not framing.chunked and self.status not in (204, 304)
         # of an answer that is no service nobody needs a long body
         self.unwanted = self.status != 200 and (self.length or 0) > WHOLE
 
     def on_body(self, body: bytes) -> None:
-        if self.complete:
+        if self.complete or self.badly_framed:
             return
         self.size += len(body)
         if self.sink is not None:
@@ -293,7 +304,8 @@
 
     def on_message_complete(self) -> None:
         status = self.parser.get_status_code()
-        if not (self.complete or 100 <= status < 200):  # an interim answer goes before the real one
+        interim = 100 <= status < 200  # goes before the real answer
+        if not (self.complete or self.badly_framed or interim):
             self.complete = True
             self.keep = self.parser.should_keep_alive()  # the parser knows only while in this call
 
@@ -310,7 +322,7 @@
         if attempt is None:
             return self.shut()  # nothing was asked
         try:
-            self.parser.feed_data(data)
+            self.feeder.feed(data, lambda: self.in_head)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.garbled = True
         self.head_size += len(data) if self.in_head else 0
@@ -318,7 +330,7 @@
             return
         if self.complete:
             self.finish(attempt)
-        elif self.garbled or self.head_size > MOST_HEAD or self.trailers > MOST_HEAD:
+        elif self.garbled or self.badly_framed or self.head_size > MOST_HEAD or self.trailers > MOST_HEAD:
             # a backend that answers at all may have run the request, however odd the answer is
             attempt.end(Answer(Outcome.BROKEN))
         elif self.unwanted:
@@ -368,11 +380,11 @@
 
 
 def read_units(value: bytes) -> float:
-    try:
-        units = float(value)
-    except ValueError:
+    """The units of a Billed-Units field; nought where it holds no decimal number in range."""
+    if not UNITS.fullmatch(value.strip()):  # float() takes more: 1_0
         return 0.0
-    return units if 0.0 < units < 1e6 else 0.0
+    units = float(value)
+    return units if 0.0 < units < MOST_UNITS else 0.0
 
 
 class Dialer:
--- a/embersill/net/clients.py
+++ b/embersill/net/clients.py
@@ -19,6 +19,7 @@
 from embersill.interface import Repeats, Settings
 from embersill.net.bodies import MOST_BODY, READ, WHOLE, Upload, ended_unread, is_readable
 from embersill.net.driver import Call, Driver
+from embersill.net.framing import BadFraming, Framing, FramingFields, HeadNormalizer, UnknownCoding
 
 MOST_HEAD = 32 * 1024  # bytes of request line and headers: a generous browser sends a quarter of it
 MOST_PIPELINED = 16  # requests under way on one connection: further ones stay unread
@@ -226,6 +227,8 @@
         self.stuck: bool = False
         self.paused = self.ended = self.closing = self.parsing = False
         self.in_request, self.in_head, self.head_size = False, False, 0
+        self.head: HeadNormalizer | None = HeadNormalizer()  # between requests and while a head comes
+        self.body_left: int | None = None  # bytes of the body that are still to come, where they are known
         self.start_request()
 
     def start_request(self) -> None:
@@ -233,8 +236,10 @@
         self.upload: Upload | None = None  # the body, where it is passed on as it comes
         self.uploader: Exchange | None = None
         self.headers: dict[bytes, bytes] = {}
+        self.fields, self.framing = FramingFields(), Framing()
         self.body: list[bytes] = []
         self.bad: BadRequest | None = None
+        self.in_doubt = False  # where the request ends, and so what follows it
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is one in all but its bases
@@ -263,16 +268,19 @@
         if name in SINGLE and name in self.headers:
             self.bad = BadRequest(400, f"{name.decode()} stands twice")
         self.headers[name] = value.strip()
+        self.fields.add(name, value)
 
     def on_headers_complete(self) -> None:
         self.in_head = False
         self.speaks_1_1 = self.parser.get_http_version() == "1.1"
-        coding, length = self.headers.get(b"transfer-encoding"), self.headers.get(b"content-length", b"0")
-        size = int(length) if length.isdigit() else 0
-        if coding is not None and (coding.lower() != b"chunked" or not self.speaks_1_1):
-            self.bad = BadRequest(501, "no transfer coding but chunked")
-        elif coding is not None and b"content-length" in self.headers:
-            self.bad = BadRequest(400, "both a length and a transfer coding")
+        try:
+            self.framing = self.fields.read()
+        except BadFraming as error:
+            self.in_doubt = True
+            self.bad = BadRequest(501 if isinstance(error, UnknownCoding) else 400, str(error))
+        size = self.framing.length or 0
+        if self.framing.chunked and not self.speaks_1_1:
+            self.bad = BadRequest(501, "no transfer coding before HTTP/1.1")
         elif size > MOST_BODY:
             self.bad = BadRequest(413, "the body is over 32 MB")
         elif self.headers.get(b"expect", b"100-continue").lower() != b"100-continue":
@@ -336,7 +344,7 @@
             upload.end()
             self.front.driver.uploaded(uploader.number)
             return
-        keep = self.parser.should_keep_alive() and self.speaks_1_1
+        keep = self.parser.should_keep_alive() and self.speaks_1_1 and not self.in_doubt
         exchange = Exchange(self, keep)
         self.exchanges.append(exchange)
         self.ended = not keep  # nothing after it is read
@@ -396,7 +404,7 @@
     def parse(self, piece: bytes) -> None:
         self.parsing = True  # an answer given at once must not start the parser again from inside itself
         try:
-            self.parser.feed_data(piece)
+            self.feed(piece)
         except httptools.HttpParserError:
             self.break_off(400, "not HTTP")
         except httptools.HttpParserUpgrade:
@@ -404,8 +412,7 @@
         self.parsing = False
         self.head_size += len(piece) if self.in_head else 0
         long = self.upload is not None or self.body_size > WHOLE
-        unread = self.headers.get(b"content-length", b"0")
-        long = long or unread.isdigit() and int(unread) > WHOLE
+        long = long or (self.framing.length or 0) > WHOLE
         if self.bad is not None and self.in_request and not self.in_head and long:
             self.break_off(self.bad.status, str(self.bad))  # there is no use in reading all of it first
         elif self.trailers > MOST_HEAD:
@@ -413,6 +420,27 @@
         elif self.head_size > MOST_HEAD:
             self.break_off(431, "the head is over 32 KiB")
 
+    def feed(self, piece: bytes) -> None:
+        """Feeds the parser, each head by itself and in the spelling that it reads.
+
+        Where a body in chunks ends is known to the parser alone: what follows one in the same piece is fed
+        as it came, and the parser refuses a spelling there that it does not read.
+        """
+        while piece:
+            if self.head is not None:
+                text, piece = self.head.feed(piece)
+                self.parser.feed_data(text)
+                if self.head.whole:
+                    self.head = None if self.in_request else HeadNormalizer()
+                    self.body_left = self.framing.length
+            else:
+                most = self.body_left or len(piece)
+                text, piece = piece[:most], piece[most:]
+                self.parser.feed_data(text)
+                self.body_left = None if self.body_left is None else self.body_left - len(text)
+                if not self.in_request:
+                    self.head = HeadNormalizer()
+
     def break_off(self, status: int, text: str) -> None:
         """Answers a request that can't be read to its end; what follows it can't be read either."""
         if self.ended:
--- a/embersill/net/discovery.py
+++ b/embersill/net/discovery.py
@@ -25,6 +25,7 @@
 import httptools
 
 from embersill.interface import Backend, ListKind, Status
+from embersill.net.framing import AnswerFeeder, BadFraming, FramingFields
 from embersill.settings import STATUSES
 
 NEXT_WITHIN = 5.0  # seconds from a call's begin to the next's, at the most, if it gets no answer: of the 6 s
@@ -150,6 +151,10 @@
         self.transport: asyncio.Transport | None = None
         self.answer: asyncio.Future[bytes] | None = None
         self.parser = httptools.HttpResponseParser(self)
+        self.feeder = AnswerFeeder(self.parser.feed_data)
+        self.fields = FramingFields()
+        self.in_head = True
+        self.to_the_end = False  # the answer ends with the connection
         self.body = bytearray()
         self.size = 0  # bytes of the answer, its head and framing included
         self.keep = False
@@ -163,6 +168,8 @@
         self.body.clear()
         self.size = 0
         self.leads, self.lag = False, 0.0
+        self.feeder.start()
+        self.fields, self.in_head, self.to_the_end = FramingFields(), True, False
         self.answer = asyncio.get_running_loop().create_future()
         self.transport.write(f"GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
         return self.answer
@@ -174,18 +181,46 @@
             self.transport.abort()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if name.lower() == b"directory-role":
+        if not self.in_head:
+            return  # a trailer, which tells nothing
+        name, value = name.lower(), value.strip()
+        if name == b"directory-role":
             self.leads = value == b"leader"
-        elif name.lower() == b"directory-lag" and value.replace(b".", b"", 1).isdigit():
+        elif name == b"directory-lag" and value.replace(b".", b"", 1).isdigit():
             self.lag = float(value)
+        else:
+            self.fields.add(name, value)
+
+    def on_headers_complete(self) -> None:
+        self.in_head = 100 <= self.parser.get_status_code() < 200
+        if self.in_head:
+            self.fields = FramingFields()
+            return
+        try:
+            framing = self.fields.read()
+        except BadFraming as error:
+            return self.fail(BadList(str(error)))
+        self.to_the_end = framing.length is None and not framing.chunked
 
     def on_body(self, body: bytes) -> None:
         self.body += body
 
     def on_message_complete(self) -> None:
-        if self.answer is None or self.answer.done():
+        if self.in_head:  # of an interim answer
             return
         self.keep = self.parser.should_keep_alive()  # the parser knows only while in this call
+        self.finish()
+
+    def eof_received(self) -> bool:
+        if self.to_the_end:
+            self.keep = False
+            self.finish()
+        return False
+
+    def finish(self) -> None:
+        """The answer has come whole."""
+        if self.answer is None or self.answer.done():
+            return
         status = self.parser.get_status_code()
         if status == 200:
             self.answer.set_result(bytes(self.body))
@@ -196,7 +231,7 @@
 
     def data_received(self, data: bytes) -> None:
         try:
-            self.parser.feed_data(data)
+            self.feeder.feed(data, lambda: self.in_head)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self.fail(BadList(str(error)))
         self.size += len(data)
