--- /dev/null
+++ b/embersill/lab/scale/coming_size.py
@@ -0,0 +1,97 @@
+"""The size that the fleet is to grow to, and what control may spend there, as the operators named them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+SECONDS_PER_DAY = 86_400
+SECONDS_PER_HOUR = 3_600
+BYTES_PER_MB = 1_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class CapacityTarget:
+    """A size of the whole deployment; rates in daily numbers where the operators count them by day."""
+
+    gateways: float
+    backends: float
+    services: float
+    requests_per_second: float  # of the whole fleet, at the peak
+    routes: float
+    customers: float
+    regions: float
+    zones: float
+    config_changes_per_day: float
+    restarts_per_day: float  # of machines: restarted or replaced
+    failures_per_day: float  # of machines
+
+    @property
+    def requests_per_gateway(self) -> float:
+        """Requests per second at one gateway."""
+        return self.requests_per_second / self.gateways
+
+    @property
+    def config_changes_per_second(self) -> float:
+        """Configuration changes, spread evenly over the day."""
+        return self.config_changes_per_day / SECONDS_PER_DAY
+
+    @property
+    def gateway_restarts_per_day(self) -> float:
+        """The gateways' part of the restarted machines, by their part of all machines."""
+        return self.restarts_per_day * self.gateways / (self.gateways + self.backends)
+
+    @property
+    def backend_restarts_per_day(self) -> float:
+        """The backends' part of the restarted machines, by their part of all machines."""
+        return self.restarts_per_day - self.gateway_restarts_per_day
+
+    @property
+    def list_writes_per_second(self) -> float:
+        """Writes to the list: a restarted backend leaves it and joins it again."""
+        return WRITES_PER_RESTART * self.backend_restarts_per_day / SECONDS_PER_DAY
+
+    def scaled(self, part: float) -> CapacityTarget:
+        """This part of the size: all numbers in step, but for regions and zones."""
+        return CapacityTarget(
+            gateways=part * self.gateways,
+            backends=part * self.backends,
+            services=part * self.services,
+            requests_per_second=part * self.requests_per_second,
+            routes=part * self.routes,
+            customers=part * self.customers,
+            regions=self.regions,
+            zones=self.zones,
+            config_changes_per_day=part * self.config_changes_per_day,
+            restarts_per_day=part * self.restarts_per_day,
+            failures_per_day=part * self.failures_per_day,
+        )
+
+
+WRITES_PER_RESTART = 2  # a backend's leaving and its joining
+
+COMING_SIZE = CapacityTarget(
+    gateways=1_100,
+    backends=8_500,
+    services=350,
+    requests_per_second=240_000,
+    routes=5_300,
+    customers=39_000,
+    regions=4,
+    zones=15,
+    config_changes_per_day=910,
+    restarts_per_day=2_900,
+    failures_per_day=57,
+)
+
+GATEWAY_CPU_SHARE = 0.046  # of a core, for control
+GATEWAY_MEMORY_MB = 128.0  # for control
+GATEWAY_BYTES_PER_SECOND = 7_000.0  # for control, both directions together
+ADDED_P99_MS = 1.5
+CONTROL_MACHINES = 6
+PROCESS_CPU_SHARE = 1.0  # an event loop runs on one core
+IN_FORCE_SECONDS = 17.0  # until a configuration change is in force everywhere
+COUNTER_CALLS_LEAST = 460.0  # per second and part, as published
+COUNTER_CALLS_MOST = 620.0
+COUNTER_PARTS_MOST = 3
+RACK_MACHINES = 40  # assumed: the operators name no number
+APART_SECONDS = SECONDS_PER_HOUR  # regions lose each other for about this long
--- /dev/null
+++ b/embersill/lab/scale/fits.py
@@ -0,0 +1,144 @@
+"""Straight lines through the plays of each axis, and whether the plays bend away from them."""
+
+from __future__ import annotations
+
+import math
+from collections import defaultdict
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+
+import numpy as np
+from numpy.typing import NDArray
+from scipy import stats
+
+from embersill.lab.scale.records import Play, Slope
+
+LEAST_VALUES = 5  # distinct values of an axis, for a line
+CONFIDENCE = 0.95  # of the slope's interval
+BEND_SIGNIFICANCE = 0.01  # of the quadratic term, two-sided
+ROUNDING = 1e-9  # of the largest figure: bends below this are rounding errors of the fit
+
+Vector = NDArray[np.float64]
+
+
+class NotFitted(Exception):
+    """The points do not determine a line."""
+
+
+class NotExtrapolated(Exception):
+    """A value beyond what was played, on a curve that bends."""
+
+
+@dataclass(frozen=True, slots=True)
+class LeastSquares:
+    """A polynomial fit: coefficients from the constant up, their standard errors, fitted values."""
+
+    coefficients: Vector
+    errors: Vector
+    fitted: Vector
+    freedom: int  # degrees of freedom of the residuals
+
+
+def fit_slopes(plays: Sequence[Play]) -> tuple[Slope, ...]:
+    """A line for each axis and measure that was played at enough values; the others are left out."""
+    slopes = []
+    for (axis, measure), points in sorted(points_by_measure(plays).items()):
+        try:
+            slopes.append(fit_line(axis, measure, points))
+        except NotFitted:
+            continue
+    return tuple(slopes)
+
+
+def points_by_measure(plays: Sequence[Play]) -> dict[tuple[str, str], list[tuple[float, float]]]:
+    """The points (value, figure) of each axis and measure."""
+    points: dict[tuple[str, str], list[tuple[float, float]]] = defaultdict(list)
+    for play in plays:
+        for measure, figure in figures_of(play):
+            points[play.axis, measure].append((play.value, figure))
+    return points
+
+
+def figures_of(play: Play) -> Iterator[tuple[str, float]]:
+    """All figures of a play, counts first."""
+    yield from play.counts.items()
+    yield from play.times.items()
+
+
+def fit_line(axis: str, measure: str, points: Sequence[tuple[float, float]]) -> Slope:
+    """The least-squares line; points that are not finite are left out, their order does not matter.
+
+    NotFitted where fewer than five distinct values remain.
+    """
+    finite = sorted(point for point in points if all(math.isfinite(number) for number in point))
+    values = np.array([value for value, _ in finite], dtype=np.float64)
+    figures = np.array([figure for _, figure in finite], dtype=np.float64)
+    if len(np.unique(values)) < LEAST_VALUES:
+        raise NotFitted(f"{measure} over {axis}: fewer than {LEAST_VALUES} values")
+    if np.ptp(figures) == 0.0:
+        return constant_line(axis, measure, values, float(figures[0]))
+    middle, reach = float(values.mean()), float(np.ptp(values))
+    scaled = (values - middle) / reach
+    line = least_squares(scaled, figures, degree=1)
+    slope = float(line.coefficients[1]) / reach
+    margin = float(line.errors[1]) / reach * float(stats.t.ppf((1 + CONFIDENCE) / 2, line.freedom))
+    return Slope(
+        axis=axis,
+        measure=measure,
+        slope=slope,
+        intercept=float(line.coefficients[0]) - slope * middle,
+        low=slope - margin,
+        high=slope + margin,
+        residual=float(np.sqrt(np.mean((figures - line.fitted) ** 2))),
+        plays=len(finite),
+        largest=float(values[-1]),
+        bends=is_bent(scaled, figures, line),
+    )
+
+
+def constant_line(axis: str, measure: str, values: Vector, figure: float) -> Slope:
+    """The line of a measure that was the same in all plays, free of rounding."""
+    return Slope(axis=axis, measure=measure, slope=0.0, intercept=figure, low=0.0, high=0.0, residual=0.0,
+                 plays=len(values), largest=float(values[-1]), bends=False)
+
+
+def least_squares(values: Vector, figures: Vector, degree: int) -> LeastSquares:
+    """The polynomial of this degree through the points."""
+    design = np.vander(values, degree + 1, increasing=True)
+    coefficients, *_ = np.linalg.lstsq(design, figures, rcond=None)
+    fitted = design @ coefficients
+    freedom = len(values) - degree - 1
+    variance = float(np.sum((figures - fitted) ** 2)) / freedom
+    covariance = variance * np.linalg.inv(design.T @ design)
+    errors = np.sqrt(np.diag(covariance)).astype(np.float64)
+    return LeastSquares(coefficients.astype(np.float64), errors, fitted.astype(np.float64), freedom)
+
+
+def is_bent(values: Vector, figures: Vector, line: LeastSquares) -> bool:
+    """Whether a quadratic term is significant and moves a point by more than plays of one point differ."""
+    curve = least_squares(values, figures, degree=2)
+    effect = float(np.max(np.abs(curve.fitted - line.fitted)))
+    if effect <= max(spread_at_points(values, figures), ROUNDING * float(np.max(np.abs(figures)))):
+        return False
+    error = float(curve.errors[2])
+    if error == 0.0:
+        return True
+    significance = 2 * float(stats.t.sf(abs(float(curve.coefficients[2])) / error, curve.freedom))
+    return significance < BEND_SIGNIFICANCE
+
+
+def spread_at_points(values: Vector, figures: Vector) -> float:
+    """The pooled standard deviation of the plays at one value; nought where each was played once."""
+    groups = [figures[values == value] for value in np.unique(values)]
+    freedom = sum(len(group) - 1 for group in groups)
+    if freedom == 0:
+        return 0.0
+    squares = sum(float(np.sum((group - group.mean()) ** 2)) for group in groups)
+    return math.sqrt(squares / freedom)
+
+
+def predict(slope: Slope, value: float) -> float:
+    """The line's figure at this value; NotExtrapolated beyond the largest value of a curve that bends."""
+    if slope.bends and value > slope.largest:
+        raise NotExtrapolated(f"{slope.measure} bends over {slope.axis}, played up to {slope.largest:g}")
+    return slope.intercept + slope.slope * value
--- /dev/null
+++ b/tests/test_scale_capacity.py
@@ -0,0 +1,415 @@
+"""The capacity page: its tables are those of the recorded run, to the digit."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+import pathlib
+import re
+import subprocess
+import sys
+from collections.abc import Callable, Iterable
+
+import pytest
+
+from embersill.lab.scale import capacity, coming_size
+from embersill.lab.scale.capacity import (
+    BAD_USE,
+    DIFFERS,
+    DONE,
+    BadPage,
+    build_tables,
+    differences,
+    evaluate,
+    filled_tables,
+    main_capacity,
+    page_tables,
+    replace_tables,
+)
+from embersill.lab.scale.capacity_model import (
+    CapacityModel,
+    Factor,
+    Kind,
+    NotMeasured,
+    OutsideModel,
+    Term,
+    number,
+)
+from embersill.lab.scale.capacity_plan import ROLES, Budget, RowPlan
+from embersill.lab.scale.coming_size import COMING_SIZE
+from embersill.lab.scale.fits import CONFIDENCE, NotExtrapolated
+from embersill.lab.scale.records import FORMAT_VERSION, FleetSize, Play, Record, read_record, write_record
+
+ROOT = pathlib.Path(__file__).parent.parent
+PAGE = ROOT / "docs" / "CAPACITY.md"
+RECORD = ROOT / "docs" / "capacity" / "record.json"
+
+BASE = FleetSize(gateways=100, backends=200, customers=500, spread=4, requests_per_second=10.0,
+                 changes_per_second=1.0, restarted_share=0.0)
+FIELDS = {
+    "gateways": "gateways", "backends": "backends", "customers": "customers", "spread": "spread",
+    "requests": "requests_per_second", "changes": "changes_per_second", "restarted": "restarted_share",
+}
+VALUES = {
+    "gateways": (50, 100, 200, 400, 1_100), "backends": (50, 100, 200, 400, 800),
+    "customers": (100, 200, 500, 1_000, 2_000), "spread": (1, 2, 4, 8, 16),
+    "requests": (5.0, 10.0, 20.0, 40.0, 80.0), "changes": (0.5, 1.0, 2.0, 4.0, 8.0),
+    "restarted": (0.05, 0.1, 0.25, 0.5, 1.0),
+}
+Measure = Callable[[FleetSize], float]
+COUNTS: dict[str, Measure] = {
+    "counter_calls_per_gateway": lambda size: 0.2 * size.requests_per_second + 0.001 * size.customers,
+    "counter_bytes_out_per_gateway": lambda size: 12.0 * size.requests_per_second + 0.05 * size.customers,
+    "counter_bytes_in_per_gateway": lambda size: 3.0 * size.requests_per_second + 0.01 * size.customers,
+    "counter_calls_fleet": lambda size: 2.0 * size.gateways + 0.1 * size.customers
+    + size.requests_per_second,
+    "list_calls_per_gateway": lambda size: 0.1 + size.changes_per_second,
+    "list_bytes_out_per_gateway": lambda size: 150.0 * size.changes_per_second,
+    "list_bytes_in_per_gateway": lambda size: 300.0 * size.changes_per_second + 0.1 * size.backends,
+    "list_bytes_out_leader": lambda size: 300.0 * size.gateways,
+    "whole_list_bytes": lambda size: 20.0 + 80.0 * size.backends,
+    "change_bytes": lambda size: 300.0,
+    "customers_per_gateway": lambda size: size.customers * size.spread / size.gateways,
+    "restart_list_calls_fleet": lambda size: 2.0 * size.restarted_share * size.gateways,
+}
+TIMES: dict[str, Measure] = {
+    "control_cpu_share": lambda size: 0.001 + 0.0001 * size.gateways + 0.00001 * size.backends
+    + 0.00001 * size.customers,
+    "module_us_per_request": lambda size: 40.0 + 0.01 * size.backends + 0.001 * size.customers,
+    "whole_list_ms": lambda size: 0.01 * size.backends + 1e-5 * size.backends ** 2,
+    "gateway_memory_mb": lambda size: 30.0 + 0.001 * size.backends + 0.001 * size.customers,
+    "directory_leader_cpu_share": lambda size: 0.01 + 0.0002 * size.gateways + 0.1 * size.changes_per_second
+    + 0.0001 * size.backends,
+    "news_longest_ms": lambda size: 30.0 + 0.1 * size.gateways,
+    "restart_all_told_s": lambda size: 0.5 + 10.0 * size.restarted_share,
+    "added_p99_ms": lambda size: 0.5 + 0.01 * size.requests_per_second,
+}
+
+
+def made_size(axis: str, value: float) -> FleetSize:
+    """The base size, with one axis at another value."""
+    kind = type(getattr(BASE, FIELDS[axis]))
+    return dataclasses.replace(BASE, **{FIELDS[axis]: kind(value)})
+
+
+def noise(seed: int) -> float:
+    """A small relative deviation that is the same for the same seed and sums to nought over three plays."""
+    return 0.001 * (seed % 3 - 1)
+
+
+def made_play(axis: str, value: float, play: int) -> Play:
+    """A play with figures by formula; counts exact, times with a small spread."""
+    size = made_size(axis, value)
+    counts = {name: measure(size) for name, measure in COUNTS.items()}
+    times = {name: measure(size) * (1.0 + noise(play)) for name, measure in TIMES.items()}
+    return Play(axis, float(value), play, play, size, 10.0, counts, times)
+
+
+def made_record(axes: Iterable[str] = tuple(VALUES)) -> Record:
+    """Three plays at each point of these axes."""
+    plays = tuple(made_play(axis, value, play)
+                  for axis in axes for value in VALUES[axis] for play in range(3))
+    return Record(FORMAT_VERSION, "2026-01-02", "a command | of the test", 8, plays)
+
+
+def rows_of(table: str) -> list[list[str]]:
+    """The cells of each row of a table, without its head."""
+    lines = table.splitlines()[2:]
+    return [[cell.strip() for cell in re.split(r"(?<!\\)\|", line)[1:-1]] for line in lines]
+
+
+@pytest.fixture(scope="module")
+def tables() -> dict[str, str]:
+    return build_tables(made_record())
+
+
+@pytest.fixture(scope="module")
+def model() -> CapacityModel:
+    return CapacityModel(made_record().plays)
+
+
+@pytest.fixture
+def site(tmp_path: pathlib.Path) -> tuple[pathlib.Path, pathlib.Path]:
+    """A made record and the project's page, written from it."""
+    record, page = tmp_path / "record.json", tmp_path / "page.md"
+    write_record(record, made_record())
+    page.write_text(PAGE.read_text())
+    assert main_capacity([str(record), "--page", str(page)]) == DONE
+    return record, page
+
+
+def check(record: pathlib.Path, page: pathlib.Path) -> int:
+    return main_capacity([str(record), "--page", str(page), "--check"])
+
+
+# the page of the project
+
+
+def test_the_page_is_the_record_or_holds_no_figure() -> None:
+    page = PAGE.read_text()
+    if RECORD.exists():
+        assert differences(page, build_tables(read_record(RECORD))) == []
+    else:
+        assert filled_tables(page) == []
+    assert check(RECORD, PAGE) == DONE
+
+
+def test_the_page_has_a_place_for_each_table(tables: dict[str, str]) -> None:
+    assert set(page_tables(PAGE.read_text())) == set(tables)
+
+
+def letter_figures() -> set[str]:
+    """The figures that the prose may quote: the operators', and those of the method."""
+    named = [getattr(COMING_SIZE, field.name) for field in dataclasses.fields(COMING_SIZE)]
+    named += [coming_size.IN_FORCE_SECONDS, coming_size.ADDED_P99_MS, coming_size.GATEWAY_MEMORY_MB,
+              100 * coming_size.GATEWAY_CPU_SHARE, coming_size.GATEWAY_BYTES_PER_SECOND / 1_000,
+              coming_size.CONTROL_MACHINES, coming_size.COUNTER_CALLS_LEAST, coming_size.COUNTER_CALLS_MOST,
+              coming_size.COUNTER_PARTS_MOST, 1, 99, 100, 100 * CONFIDENCE]
+    return {number(value) for value in named}
+
+
+def test_prose_quotes_no_figure_but_the_operators() -> None:
+    prose = replace_tables(PAGE.read_text(), dict.fromkeys(page_tables(PAGE.read_text()), ""))
+    assert set(re.findall(r"\d[\d,.]*\d|\d", prose)) <= letter_figures()
+
+
+# the check
+
+
+def test_a_written_page_passes_and_is_not_written_again(site: tuple[pathlib.Path, pathlib.Path]) -> None:
+    record, page = site
+    before = page.read_text()
+    assert check(record, page) == DONE
+    assert main_capacity([str(record), "--page", str(page)]) == DONE
+    assert page.read_text() == before
+
+
+@pytest.mark.parametrize("name", sorted(page_tables(PAGE.read_text())))
+def test_any_changed_digit_is_told_with_its_row(name: str, tables: dict[str, str]) -> None:
+    good = replace_tables(PAGE.read_text(), tables)
+    body = tables[name]
+    digits = [found.start() for found in re.finditer(r"\d", body)]
+    assert digits and differences(good, tables) == []
+    for at in digits:
+        changed = body[:at] + str((int(body[at]) + 1) % 10) + body[at + 1:]
+        [line] = differences(replace_tables(good, tables | {name: changed}), tables)
+        assert line.startswith(f"table {name}, row {body[:at].count(chr(10)) - 1}: ")
+
+
+def test_the_command_names_the_row_that_differs(
+    site: tuple[pathlib.Path, pathlib.Path], capsys: pytest.CaptureFixture[str]
+) -> None:
+    record, page = site
+    good = page.read_text()
+    page.write_text(good.replace("| 128 MB (operators) |", "| 129 MB (operators) |", 1))
+    assert page.read_text() != good and check(record, page) == DIFFERS
+    told = capsys.readouterr().err
+    assert told.count("\n") == 1
+    assert re.match(r"table gateway, row \d+: .*memory of the process.*129 MB", told)
+
+
+@pytest.mark.parametrize("change", [
+    lambda body: "\n".join(body.split("\n")[:-2]) + "\n", lambda body: body + "| 1 |\n", lambda body: "",
+])
+def test_rows_that_lack_or_are_too_many_are_told(
+    change: Callable[[str], str], site: tuple[pathlib.Path, pathlib.Path]
+) -> None:
+    record, page = site
+    body = page_tables(page.read_text())["order"]
+    page.write_text(page.read_text().replace(body, change(body)))
+    assert check(record, page) == DIFFERS
+
+
+def test_tables_without_a_record_are_told(
+    site: tuple[pathlib.Path, pathlib.Path], capsys: pytest.CaptureFixture[str]
+) -> None:
+    record, page = site
+    record.unlink()
+    assert check(record, page) == DIFFERS
+    assert "table gateway holds rows, but there is no record" in capsys.readouterr().err
+    assert main_capacity([str(record), "--page", str(page)]) == BAD_USE
+
+
+@pytest.mark.parametrize("spoil", [
+    lambda page: page.replace("<!-- table: order -->", ""),
+    lambda page: page.replace("<!-- table: order -->", "<!-- table: other -->"),
+    lambda page: page.replace("<!-- table: order -->", "<!-- table: gateway -->"),
+    lambda page: page[::-1].replace(capacity.END[::-1], "", 1)[::-1],
+])
+def test_a_page_with_torn_markers_is_bad_use(
+    spoil: Callable[[str], str], site: tuple[pathlib.Path, pathlib.Path]
+) -> None:
+    record, page = site
+    page.write_text(spoil(page.read_text()))
+    with pytest.raises(BadPage):
+        differences(page.read_text(), build_tables(made_record()))
+    assert check(record, page) == BAD_USE
+    assert main_capacity([str(record), "--page", str(page)]) == BAD_USE
+
+
+def test_the_command_works_by_itself(site: tuple[pathlib.Path, pathlib.Path]) -> None:
+    record, page = site
+    command = [sys.executable, "-m", "embersill.lab.scale.capacity", str(record), "--page", str(page),
+               "--check"]
+    assert subprocess.run(command, cwd=ROOT, timeout=60).returncode == DONE
+    record.write_text("{}")
+    ended = subprocess.run(command, cwd=ROOT, timeout=60, capture_output=True, text=True)
+    assert ended.returncode == BAD_USE and ended.stderr.startswith("record.json: ")
+
+
+# rows
+
+
+def test_every_figure_has_its_origin(tables: dict[str, str]) -> None:
+    kinds = {kind.value for kind in Kind}
+    for name in set(tables) - {"record", "order", "failures"}:
+        for quantity, figure, origin, how, slopes, run, *_ in rows_of(tables[name]):
+            assert quantity and origin in kinds and how
+            assert bool(re.match(r"[\d.-]", figure)) == (origin not in {"not measured", "not extended"})
+            assert (run != "-") == (origin in {"measured", "line"} or "over" in slopes)
+    for _, _, _, cost, origin, how, run, _ in rows_of(tables["failures"]):
+        assert origin in kinds and how
+        assert bool(re.match(r"[\d.-]", cost)) == (origin not in {"not measured", "not extended"})
+        assert run != "-" or origin in {"reckoned", "not measured", "not extended"}
+
+
+def test_without_plays_nothing_is_measured() -> None:
+    empty = build_tables(Record(FORMAT_VERSION, "2026-01-02", "none", 8, ()))
+    for name in set(empty) - {"record", "order", "failures"}:
+        for _, figure, origin, how, *_ in rows_of(empty[name]):
+            assert (figure, origin) == ("not measured", "not measured") or how.startswith("reckoned: ")
+    for row in rows_of(empty["order"]):
+        assert row[4] == "-" and not re.search(r"\d", row[3])
+
+
+def test_an_absent_axis_is_named() -> None:
+    short = build_tables(made_record(axis for axis in VALUES if axis != "customers"))
+    row = next(row for row in rows_of(short["gateway"]) if row[0] == "CPU of control")
+    assert row[1:4] == ["not measured", "not measured", "control_cpu_share over customers"]
+
+
+def test_order_is_sorted_and_names_each_mechanism_once(tables: dict[str, str]) -> None:
+    rows = rows_of(tables["order"])
+    assert [int(row[0]) for row in rows] == list(range(1, len(rows) + 1))
+    assert len({row[1] for row in rows}) == len(rows)
+    places = [re.search(r"([\d.]+) of the size", row[3]) for row in rows]
+    parts = [float(found[1]) if found else math.inf for found in places]
+    assert parts == sorted(parts) and parts[0] < 1.0 < parts[-1]
+    ratios = [float(row[4].replace(",", "")) if row[4] != "-" else 0.0
+              for row, part in zip(rows, parts, strict=True) if part == math.inf]
+    assert ratios == sorted(ratios, reverse=True)
+
+
+def test_each_mechanism_stands_with_its_smallest_part(tables: dict[str, str], model: CapacityModel) -> None:
+    smallest: dict[str, float] = {}
+    for plan in ROLES:
+        for row in plan.rows:
+            crossing = evaluate(plan.name, row, model).crossing
+            if row.missing and crossing is not None and crossing.part is not None:
+                smallest[row.missing] = min(crossing.part, smallest.get(row.missing, math.inf))
+    shown = {row[1]: row[3] for row in rows_of(tables["order"])}
+    assert smallest
+    for mechanism, part in smallest.items():
+        assert shown[mechanism].endswith(f"{part:.2f} of the size")
+
+
+# the model
+
+
+def row(*terms: Term, most: float = math.inf) -> RowPlan:
+    return RowPlan("quantity", "unit", "mechanism", terms, budget=Budget(most, "test"))
+
+
+def test_a_played_value_is_measured(model: CapacityModel) -> None:
+    result = evaluate("role", row(Term("list_bytes_out_leader", ("gateways",))), model)
+    assert result.kind is Kind.MEASURED and result.how.startswith("measured at 1,100 gateways")
+    assert result.reading is not None and result.reading.value == 300.0 * 1_100
+
+
+def test_one_axis_is_read_from_its_line(model: CapacityModel) -> None:
+    result = evaluate("role", row(Term("whole_list_bytes", ("backends",))), model)
+    assert result.kind is Kind.LINE
+    assert result.how == ("line through 50..800 backends, extended 10.6 times; "
+                          "flat over gateways, customers, requests, changes")
+    assert result.reading is not None and math.isclose(result.reading.value, 20.0 + 80.0 * 8_500)
+
+
+def test_axes_add_up_from_where_the_first_was_played(model: CapacityModel) -> None:
+    term = Term("control_cpu_share", ("gateways", "backends", "customers"))
+    result = evaluate("role", row(term, most=0.046), model)
+    wanted = 0.001 + 0.0001 * 1_100 + 0.00001 * 8_500 + 0.00001 * 39_000
+    assert result.kind is Kind.RECKONED and result.reading is not None
+    assert math.isclose(result.reading.value, wanted, rel_tol=0.01)
+    assert result.ratio is not None and math.isclose(result.ratio, wanted / 0.046, rel_tol=0.01)
+    assert result.crossing is not None and result.crossing.part is not None
+    assert math.isclose(result.crossing.part, (0.046 - 0.001) / (wanted - 0.001), abs_tol=0.02)
+
+
+def test_a_sum_of_terms_and_a_factor_are_reckoned(model: CapacityModel) -> None:
+    gateways = Factor("gateways", lambda target: target.gateways)
+    terms = [Term(f"counter_bytes_{way}_per_gateway", ("gateways", "customers", "requests"), gateways)
+             for way in ("out", "in")]
+    result = evaluate("role", row(*terms), model)
+    wanted = (15.0 * 240_000 / 1_100 + 0.06 * 39_000) * 1_100
+    assert result.kind is Kind.RECKONED and "x gateways" in result.how
+    assert result.reading is not None and math.isclose(result.reading.value, wanted, rel_tol=1e-6)
+
+
+def test_a_bent_curve_is_not_extended_but_read_between_its_points(model: CapacityModel) -> None:
+    term = Term("whole_list_ms", ("backends",))
+    result = evaluate("role", row(term, most=7.0), model)
+    assert result.kind is Kind.NOT_EXTENDED and result.reading is None and result.ratio is None
+    assert "bends over backends" in result.how and "14.4 there" in result.how
+    assert result.crossing is not None and result.crossing.part == 0.06  # between 400 and 800 backends
+    unpassed = evaluate("role", row(term, most=1_000.0), model).crossing
+    assert unpassed is not None and unpassed.text == "beyond what was played"
+    with pytest.raises(NotExtrapolated):
+        model.curves["backends", "whole_list_ms"].at(49.0)
+
+
+def test_a_slope_that_may_be_nought_adds_nothing(model: CapacityModel) -> None:
+    curve = model.curves["requests", "news_longest_ms"]
+    assert curve.is_flat
+    assert math.isclose(curve.at(10_000.0).value, 30.0 + 0.1 * BASE.gateways, rel_tol=1e-6)
+
+
+def test_a_figure_below_nought_is_refused() -> None:
+    falling = CapacityModel([
+        dataclasses.replace(made_play("gateways", value, 0), counts={"falling": 1_000.0 - value}, times={})
+        for value in (50, 100, 200, 400, 800)
+    ])
+    term = Term("falling", ("gateways",))
+    assert math.isclose(falling.read_term(term, COMING_SIZE.scaled(0.5)).value, 450.0)
+    with pytest.raises(OutsideModel):
+        falling.read_term(term, COMING_SIZE)
+    assert evaluate("role", row(term), falling).kind is Kind.NOT_EXTENDED
+
+
+def test_restarts_are_read_from_plays_with_restarts_alone(model: CapacityModel) -> None:
+    assert ("gateways", "restart_list_calls_fleet") not in model.curves
+    gateways = Factor("gateways", lambda target: target.gateways)
+    term = Term("restart_list_calls_fleet", ("restarted",), gateways, {"restarted": 1 / 15}, per_gateway=True)
+    assert math.isclose(model.read_term(term, COMING_SIZE).value, 2.0 / 15 * 1_100, rel_tol=1e-6)
+
+
+def test_too_few_values_are_measured_where_played_and_not_elsewhere() -> None:
+    few = CapacityModel([made_play("gateways", value, 0) for value in (50, 1_100)])
+    term = Term("list_bytes_out_leader", ("gateways",))
+    assert few.read_term(term, COMING_SIZE).kind is Kind.MEASURED
+    with pytest.raises(NotMeasured):
+        few.read_term(term, COMING_SIZE.scaled(0.5))
+
+
+def test_figures_that_are_not_finite_are_no_figures() -> None:
+    play = made_play("gateways", 1_100, 0)
+    spoilt = dataclasses.replace(play, counts={"list_bytes_out_leader": math.nan})
+    with pytest.raises(NotMeasured):
+        CapacityModel([spoilt]).read_term(Term("list_bytes_out_leader", ("gateways",)), COMING_SIZE)
+
+
+@pytest.mark.parametrize(("value", "text"), [
+    (0.0, "0"), (8_500.0, "8,500"), (0.046, "0.046"), (1.5, "1.5"), (1234.5, "1,230"), (999.6, "1,000"),
+    (0.000_012_3, "1.23e-05"), (0.123_456, "0.123"), (12.34, "12.3"), (-0.5, "-0.5"), (2_900.0, "2,900"),
+])
+def test_numbers_have_three_digits(value: float, text: str) -> None:
+    assert number(value) == text
