--- a/tests/test_scale_fits.py
+++ b/tests/test_scale_fits.py
@@ -181,6 +181,12 @@
     assert write_plots(Record(FORMAT_VERSION, "2026-01-02", "none", 8, ()), tmp_path) == []
 
 
+def test_equal_figures_whose_mean_rounds_are_drawn(tmp_path: pathlib.Path) -> None:
+    plays = [play("gateways", value, number, {"calls": figure}, {})
+             for value, figure in ((1.0, 0.1), (2.0, 0.7)) for number in range(PLAYS_PER_POINT)]
+    assert len(write_plots(Record(FORMAT_VERSION, "2026-01-02", "none", 8, tuple(plays)), tmp_path)) == 1
+
+
 @pytest.mark.parametrize(("measure", "group"), [
     ("memory_per_backend_bytes", "Memory"), ("control_cpu_share", "Processor time"),
     ("module_us_per_request", "Processor time"), ("refused_with_room_share", "Shares"),
