Read settings and lines without what only the first deployment tells

Cause: a group and a window were asked of classes that have no key, the counter's figures of sites without one, and an aim beyond the deadline was taken as told, so that answers late by a share of it could never come. Change: those are optional, and the aim is the deadline at most.

--- a/embersill/adapter.py
+++ b/embersill/adapter.py
@@ -21,6 +21,8 @@
 KINDS = {"Partial": ListKind.CHANGES, "Complete": ListKind.WHOLE, "Persisted": ListKind.REMEMBERED,
          "Error": ListKind.FAILED}
 
+BACKEND_PARTS = 6  # of a backend line, up to its state: what comes after may be absent
+
 
 class Malformed(Exception):
     """A line that the wire does not allow."""
@@ -33,11 +35,11 @@
 
 
 def read_backend(parts: list[str]) -> Backend:
-    if len(parts) < 8 or parts[0] != "backend":
+    if len(parts) < BACKEND_PARTS or parts[0] != "backend":
         raise Malformed("expected a backend line")
-    started = 0.0 if parts[7] == "-" else float(parts[7]) / 1000.0
-    return Backend(parts[1], parts[2], parts[3], int(parts[4]), pick(STATUSES, parts[5]), float(parts[6]),
-                   started if started else None)
+    rating, started = float(value(parts, 6, "1")), float(value(parts, 7, "0")) / 1000.0
+    return Backend(parts[1], parts[2], parts[3], int(parts[4]), pick(STATUSES, parts[5]), rating,
+                   started or None)
 
 
 def read_load(parts: list[str], at: int) -> tuple[float, ...]:
@@ -56,8 +58,8 @@
         return Request(
             id=int(parts[1]), klass=parts[2], plan=value(parts, 3, ""), customer=value(parts, 4, ""),
             deadline=float(parts[5]) / 1000.0, units=float(value(parts, 6, "1")),
-            width=int(value(parts, 7, "0")),
-            first_gateway=int(value(parts, 8, "0")), repeat=bool(int(value(parts, 9, "0")) & 2),
+            width=int(float(value(parts, 7, "0"))),
+            first_gateway=int(float(value(parts, 8, "0"))), repeat=bool(int(value(parts, 9, "0")) & 2),
         )
     if what == "result":
         return AttemptEnded(
--- a/embersill/settings.py
+++ b/embersill/settings.py
@@ -37,15 +37,20 @@
             raise ValueError(f"settings: {key} has an unknown value {value!r}")
         return table[value]
 
-    classes = tuple(
-        RequestClass(
-            name=take(c, "name"), repeats=named(REPEATS, c, "semantics"),
-            scope=named(SCOPES, c, "dedup_scope"),
-            memory=seconds(c, "memory_span"), aim=seconds(c, "aim"), deadline=seconds(c, "deadline"),
-            late_share=number(c, "late_share"), worth=number(c, "credit"), stream=bool(take(c, "stream")),
+    def request_class(source: dict[str, Any]) -> RequestClass:
+        repeats = named(REPEATS, source, "semantics")
+        keyed = repeats is Repeats.BY_KEY  # the group and the window of repeats say nothing of others
+        deadline = seconds(source, "deadline")
+        return RequestClass(
+            name=take(source, "name"), repeats=repeats,
+            scope=named(SCOPES, source, "dedup_scope") if keyed else Scope.ALL,
+            memory=seconds(source, "memory_span") if keyed else 0.0,
+            aim=min(seconds(source, "aim"), deadline),  # nobody waits any longer
+            deadline=deadline, late_share=number(source, "late_share"), worth=number(source, "credit"),
+            stream=bool(take(source, "stream")),
         )
-        for c in take(env, "services")
-    )
+
+    classes = tuple(request_class(c) for c in take(env, "services"))
     plans = tuple(
         Plan(
             name=take(p, "name"), rate=number(p, "units_per_s"), burst=number(p, "peak_units"),
@@ -55,11 +60,13 @@
         )
         for p in take(env, "packages")
     )
+    counter = bool(take(domain, "counter"))
     return Settings(
         me=int(number(env, "me")), gateways=int(number(env, "balancers")), classes=classes, plans=plans,
         zone=take(env, "zone"), list_pushed=take(env, "membership_mode") == "pushed",
-        ask_every=seconds(rules, "ask_every"), counter=bool(take(domain, "counter")),
-        counter_patience=seconds(domain, "count_limit"), counter_price=number(domain, "count_fee"),
+        ask_every=seconds(rules, "ask_every"), counter=counter,
+        counter_patience=seconds(domain, "count_limit") if counter else 0.0,
+        counter_price=number(domain, "count_fee") if counter else 0.0,
         may_cancel=bool(take(limits, "cancel")), may_probe=bool(take(limits, "may_probe")),
         second_copies=bool(take(limits, "second_copies")), max_attempts=int(number(limits, "max_attempts")),
         max_retry_after=seconds(limits, "max_retry_after"),
