Tests of gateways that take turns under a ceiling whose part holds no request

Seen: with 15 units a second and a store of 41 over 150 gateways none of 100 requests was ever sent on.

--- a/tests/test_other_deployments.py
+++ b/tests/test_other_deployments.py
@@ -569,3 +569,55 @@
     told = read_event(line.split("\t"), {})
     assert isinstance(told, Request) and (told.units, told.width, told.first_gateway) == (2.0, 3, 1)
     assert told.repeat
+
+
+def test_gateways_that_take_turns_stay_below_the_ceiling_together() -> None:
+    """Each of the set's gateways is asked all the time, one is killed: any stretch keeps to the ceiling."""
+    width, gateways, first, units = 30, 40, 25, 1.0
+    plan = replace(PLAN, rate=1e6, burst=1e6, ceiling_rate=6.0, ceiling_depth=9.0)
+    told = replace(SETTINGS, plans=(plan,), gateways=gateways, counter=False, most_units=units)
+
+    def start(place: int, now: float) -> Gateway:
+        made = Gateway(replace(told, me=(first + place) % gateways), place, now)
+        made.handle(backends(backend("a")), now)
+        return made
+
+    fleet = [start(place, START) for place in range(width)]
+    sent: list[float] = []
+    number = 0
+    for step in range(1, 600):
+        now = START + step * 0.05
+        if step % 50 == 0:
+            fleet[step // 50 % width] = start(step // 50 % width, now)
+        for made in fleet:
+            number += 1
+            actions = made.handle(
+                Request(number, "read", "small", "c", now + 0.01, units, width, first, False), now)
+            for send in sends(actions):
+                sent.append(now)
+                made.handle(ended(number, 0, send.backend, Outcome.SERVED, elapsed=0.01), now)
+            if number in made.jobs:
+                made.handle(ClientLeft(number), now)
+    assert len(sent) > 60  # of 180 that the ceiling lets go, by clients that are everywhere at once
+    for i, begin in enumerate(sent):
+        for j in range(i, len(sent)):
+            assert (j - i + 1) * units <= plan.ceiling_depth + plan.ceiling_rate * (sent[j] - begin) + 1e-6
+
+
+def test_a_turn_used_in_part_does_not_begin_anew() -> None:
+    """An idle customer is forgotten: what it has used of a turn must be over by then."""
+    plan = replace(PLAN, rate=1e6, burst=1e6, ceiling_rate=8.0, ceiling_depth=20.0)
+    made = gateway(plans=(plan,), gateways=40, counter=False, most_units=4.0)
+    sent = {"c": 0, "newcomer": 0}
+    number = 0
+    for step in range(1, 801):  # two turns of this gateway's, each of four units
+        now = 100.0 + 0.05 * step
+        for customer in ("c", f"newcomer {2 * step}", f"newcomer {2 * step + 1}"):
+            number += 1  # at each newcomer some idle ones are forgotten
+            asked = request(number, customer=customer, width=40, deadline=now + 0.01)
+            for send in sends(made.handle(asked, now)):
+                sent[customer.partition(" ")[0]] += 1
+                made.handle(ended(number, 0, send.backend, Outcome.SERVED, elapsed=0.01), now)
+            if number in made.jobs:
+                made.handle(ClientLeft(number), now)
+    assert 4 <= sent["c"] <= 8 and len(made.throttles) < 200
