Draw deployments under which requests are tried again, and idle times between bursts

Seen: with the guards on attempts, on classes that are unsafe to repeat and on zones taken out of a copy of the decision module, the drawn cases still passed, as few requests came to a second attempt.

--- a/tests/test_other_deployments.py
+++ b/tests/test_other_deployments.py
@@ -44,8 +44,9 @@
 @st.composite
 def request_classes(draw: st.DrawFn, number: int) -> RequestClass:
     return RequestClass(
-        name=f"class-{number}", repeats=draw(st.sampled_from(Repeats)), scope=draw(st.sampled_from(Scope)),
-        memory=draw(seconds(0.0, 10.0)), aim=draw(seconds(0.01, 5.0)), deadline=draw(seconds(0.05, 10.0)),
+        name=f"class-{number}", repeats=draw(st.sampled_from([*Repeats][::-1])),
+        scope=draw(st.sampled_from(Scope)), memory=draw(st.sampled_from([0.05, 0.3, 10.0])),
+        aim=draw(seconds(0.01, 5.0)), deadline=draw(seconds(0.05, 10.0)),
         late_share=draw(st.sampled_from([0.0, 0.2, 0.5, 1.0])), worth=draw(st.sampled_from([0.0, 1.0, 5.0])),
         stream=draw(st.booleans()))
 
@@ -54,8 +55,9 @@
 def plans(draw: st.DrawFn, number: int) -> Plan:
     has_rate, has_ceiling = draw(st.booleans()), draw(st.booleans())
     return Plan(
-        name=f"plan-{number}", rate=draw(seconds(0.05, 50.0)) if has_rate else 0.0,
-        burst=draw(seconds(0.0, 100.0)) if has_rate else 0.0, concurrency=draw(st.integers(0, 3)),
+        name=f"plan-{number}", rate=draw(st.sampled_from([0.05, 2.0, 5000.0])) if has_rate else 0.0,
+        burst=draw(st.sampled_from([0.0, 3.0, 5000.0])) if has_rate else 0.0,
+        concurrency=draw(st.integers(0, 3)),
         ceiling_rate=draw(seconds(0.1, 50.0)) if has_ceiling else 0.0,
         ceiling_depth=draw(seconds(0.0, 100.0)) if has_ceiling else 0.0,
         worth_factor=draw(st.sampled_from([0.0, 1.0])), beyond_worth=draw(st.sampled_from([0.0, 0.1])),
@@ -224,9 +226,9 @@
         Outcome.BROKEN, Outcome.NOT_SENT, Outcome.CANCELLED, Outcome.TIMED_OUT]
 COUNTER_ENDS = [Outcome.SERVED, Outcome.TIMED_OUT, Outcome.TURNED_AWAY, Outcome.NO_CONNECTION, Outcome.ERROR]
 STEPS = st.lists(st.tuples(
-    st.sampled_from(["ask", "ask", "ask", "end", "end", "wait", "leave", "list", "whole", "failed", "count",
+    st.sampled_from([*["ask"] * 6, *["end"] * 6, "wait", "wait", "leave", "list", "whole", "failed", "count",
                      "stream", "staff", "full", "settle", "tune"]),
-    st.integers(0, 10**6), st.floats(0.0, 1.5)), max_size=50)
+    st.integers(0, 10**6), st.floats(0.0, 1.5)), min_size=20, max_size=50)
 
 
 def drawn_backend(name: str, pick: int, now: float, status: Status) -> Backend:
@@ -249,7 +251,7 @@
         number, place, _ = out[pick % len(out)]
         watch.end(number, place, ENDS[pick // 7 % len(ENDS)], 1.0 + pick % 5)
     elif kind == "wait":
-        watch.run_to(watch.now + span)
+        watch.run_to(watch.now + span / 5)
     elif kind == "leave" and watch.open:
         watch.tell(ClientLeft(sorted(watch.open)[pick % len(watch.open)]))
     elif kind == "list":
@@ -282,7 +284,9 @@
 @given(deployments(), STEPS)
 def test_drawn_deployments_break_no_rule(told: Settings, steps: list[tuple[str, int, float]]) -> None:
     watch = RuleChecker(Gateway(told, 1, START), told)
-    start = [drawn_backend(f"10.0.0.{n}:80", 4 * n + 3, START, Status.SERVING) for n in range(4)]
+    # warm ones in two zones and two cells each, so that there is somewhere to try again, rightly and wrongly
+    start = [Backend(f"10.0.0.{n}:80", ZONES[n % 2], "k", n // 3, Status.SERVING, 1.0, None)
+             for n in range(6)]
     watch.tell(BackendList(ListKind.REMEMBERED, tuple(start)))
     for number, step in enumerate(steps, 1):
         play_step(watch, number, step)
@@ -587,6 +591,8 @@
     number = 0
     for step in range(1, 600):
         now = START + step * 0.05
+        if step % 120 > 60:
+            continue  # and all at once after a while: turns that nobody used must be over
         if step % 50 == 0:
             fleet[step // 50 % width] = start(step // 50 % width, now)
         for made in fleet:
@@ -598,7 +604,7 @@
                 made.handle(ended(number, 0, send.backend, Outcome.SERVED, elapsed=0.01), now)
             if number in made.jobs:
                 made.handle(ClientLeft(number), now)
-    assert len(sent) > 60  # of 180 that the ceiling lets go, by clients that are everywhere at once
+    assert len(sent) > 40  # of 180 that the ceiling lets go, by clients that ask for half of the time
     for i, begin in enumerate(sent):
         for j in range(i, len(sent)):
             assert (j - i + 1) * units <= plan.ceiling_depth + plan.ceiling_rate * (sent[j] - begin) + 1e-6
