Charge no units to a plan without a rate while a request is held

Cause: arrive() took a held request's units off the level also where the plan has no rate, and nothing pays them back; such customers were shed first under pressure. Seen in tests/test_other_deployments.py, which fails without it (level -1 after one held request). No cost with the fleet's size.

--- a/embersill/control.py
+++ b/embersill/control.py
@@ -312,14 +312,14 @@
             return self.answer(job, behind, "over quota")
         throttle.queue.append(job)
         throttle.held += units
-        throttle.level -= units
+        throttle.level -= units if plan.rate > 0 else 0.0  # without a quota nothing would pay it back
         self.release(throttle)
         self.actions.append(SetTimer(max(bound, 1e-6), f"h{request.id}"))
 
     def drop_held(self, job: Job) -> None:
         throttle = job.throttle
         throttle.unhold(job)
-        throttle.level += job.request.units
+        throttle.level += job.request.units if throttle.plan.rate > 0 else 0.0
         self.take_back(job)
         self.answer(job, throttle.wait(job.request.units), "held in vain")
 
