Charge the retry budget only for attempts that are sent

Cause: after_failure() took retry credit before a backend was found; a class that is unsafe to repeat used up the further attempts of the others (10 to 9 in the test, which fails without this).

--- a/embersill/control.py
+++ b/embersill/control.py
@@ -883,8 +883,9 @@
         charge = 0.0 if free else min(1.0, event.elapsed / max(usual, EPS))
         useful = event.again and outcome is not Outcome.TIMED_OUT and end - self.now > usual
         if useful and self.retry_credit >= charge:
-            self.retry_credit -= charge
+            before = len(job.attempts)
             self.place(job)
+            self.retry_credit -= charge if len(job.attempts) > before else 0.0
         else:
             self.answer(job, PERIOD, f"after {outcome.value}")
 
