Take a time-out before an answer would be late for no sign of ease

Cause: learn() judged it as an answer in time: with deadlines short against the aim a time-out raised the part that is sent on (0.5 to 0.625 in the test, which fails without this).

--- a/embersill/control.py
+++ b/embersill/control.py
@@ -901,7 +901,8 @@
             return None  # it took no more from here, and serves
         bad, late = outcome is not Outcome.SERVED, elapsed > LATE_AT * job.klass.aim
         self.fleet_fails += BLEND / 4 * ((bad or late) - self.fleet_fails)
-        if not attempt.overdue and outcome in (Outcome.SERVED, Outcome.TIMED_OUT):
+        # one that its client would not wait for came neither late nor in time
+        if not attempt.overdue and (outcome is Outcome.SERVED or late and outcome is Outcome.TIMED_OUT):
             self.judge(late, server)
         if bad:
             dead = outcome is Outcome.NO_CONNECTION  # no slowness of the fleet looks like this
