Bound the answer times that are kept by units

Cause: usual was keyed by exact units, 2,001 entries for 2,000 different units and never fewer. Whole numbers up to 16, then powers of two. The test fails without this.

--- a/embersill/control.py
+++ b/embersill/control.py
@@ -9,7 +9,7 @@
 from collections.abc import Mapping
 from dataclasses import replace
 from itertools import accumulate
-from math import ceil, exp, gcd, inf, sqrt
+from math import ceil, exp, gcd, inf, log2, sqrt
 from typing import Any
 
 from embersill.interface import (
@@ -75,6 +75,7 @@
 LOAD_OVER = 10.0  # seconds over which the use of a backend's connections is averaged: some idle limits' worth
 LOAD_CHANCE = 2.0  # standard deviations of what is out at once, above its mean, for which idle ones are kept
 WARM_OVER = 1.0  # seconds over which gateways spread what they open ahead: a list reaches all at once
+SMALL_UNITS = 16  # units of a request up to which each whole number has an answer time of its own
 EPS = 1e-9  # float slack where levels are compared
 # what a successor is handed of a gateway, of a customer's throttle, and of a backend
 GATEWAY_STATE = ("born", "fleet_fails", "retry_credit", "passed", "judged", "limit", "flight", "quiet_until",
@@ -519,7 +520,7 @@
     def usual_for(self, job: Job) -> float:
         """Seconds such a request takes on the fleet."""
         fallback = self.usual.get((job.klass.name, 0.0), job.klass.aim / 8)
-        return self.usual.get((job.klass.name, job.request.units), fallback)
+        return self.usual.get((job.klass.name, units_kind(job.request.units)), fallback)
 
     def place(self, job: Job) -> None:
         """Finds a backend for a request that has its credit, or turns it away."""
@@ -915,7 +916,7 @@
         self.take_more(server)
         self.greet.pop(server.backend.address, None)
         server.full.pop(kind, None)
-        for key in ((job.klass.name, job.request.units), (job.klass.name, 0.0)):
+        for key in ((job.klass.name, units_kind(job.request.units)), (job.klass.name, 0.0)):
             before = self.usual.get(key, elapsed)
             self.usual[key] = before + BLEND / 3 * (elapsed - before)
         name, slow = server.backend.kind, elapsed / max(attempt.weight, 1e-4)
@@ -1132,6 +1133,11 @@
     return (step * settings.me + drawn // gateways) % gateways
 
 
+def units_kind(units: float) -> float:
+    """Units by which answer times are kept: each whole number up to SMALL_UNITS, above it powers of two."""
+    return float(ceil(units)) if units <= SMALL_UNITS else 2.0 ** ceil(log2(units))
+
+
 def group_of(klass: RequestClass, server: Server) -> str | int:
     if klass.scope is Scope.ALL:
         return ""
