Read budgets, names and Quota-Info in all forms that the protocol allows

Cause: budgets of over nine decimals, class and plan names in UTF-8, percent-encoded customers and further parts of Quota-Info got a 400.

--- a/embersill/net/clients.py
+++ b/embersill/net/clients.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable
 from functools import lru_cache
 from typing import cast
+from urllib.parse import unquote_to_bytes
 
 import httptools
 
@@ -44,8 +45,9 @@
 CALL_ID = re.compile(rb"[0-9A-Za-z_.-]{1,64}")
 CLIENT = re.compile(rb"[?&]client=([^&]*)")
 CUSTOMER = re.compile(rb"0{7}[01][0-9A-Fa-f]{8}")  # a number below 2^33
-BUDGET = re.compile(rb"\d{1,6}(\.\d{1,9})?")
+BUDGET = re.compile(rb"\d{1,6}(\.\d{1,30})?")  # a float in full has up to 17 decimals
 KEY = re.compile(rb"[!-~]{1,256}")
+QUOTA_PARTS = (b"units", b"spread", b"first")
 QUOTA = re.compile(rb"\s*([a-z_]+)\s*=\s*(\d{1,9}(?:\.\d{1,9})?)\s*")
 SINGLE = frozenset((b"x-call-id", b"x-call-class", b"plan", b"x-budget", b"idempotency-key", b"quota-info",
                     b"x-again", b"content-length", b"host", b"transfer-encoding", b"expect"))
@@ -72,6 +74,8 @@
     """Units, spread and first of a Quota-Info; kept, since few different ones come again and again."""
     found: dict[bytes, float] = {}
     for part in text.split(b","):
+        if part.partition(b"=")[0].strip() not in QUOTA_PARTS:
+            continue  # what else it tells is for others
         match = QUOTA.fullmatch(part)
         if match is None or match[1] in found:
             raise BadRequest(400, "Quota-Info is not in its form")
@@ -85,25 +89,31 @@
     return units, int(width), int(first)
 
 
+def header_forms(name: str) -> list[bytes]:
+    """The bytes by which a header may tell a name of the settings: UTF-8, or Latin-1 where it can."""
+    latin = name.encode("latin-1", "replace")
+    return [name.encode(), latin] if latin.decode("latin-1") == name else [name.encode()]
+
+
 class CallReader:
     """Turns requests into calls by the settings' classes and plans, and words what is wrong with the rest."""
 
     def __init__(self, settings: Settings) -> None:
-        self.classes = {c.name: c for c in settings.classes}
-        self.plans = {p.name for p in settings.plans}
+        self.classes = {form: c for c in settings.classes for form in header_forms(c.name)}
+        self.plans = {form: p.name for p in settings.plans for form in header_forms(p.name)}
         self.gateways, self.most_units = settings.gateways, settings.most_units
 
     def read(self, received: float, method: bytes, target: bytes, headers: dict[bytes, bytes],
              body: bytes, upload: Upload | None = None) -> Call:
         customer = self.customer(target)
-        klass = self.classes.get(self.needed(headers, b"x-call-class").decode("latin-1"))
+        klass = self.classes.get(self.needed(headers, b"x-call-class"))
         if klass is None:
             raise BadRequest(400, "X-Call-Class names no class")
         wanted = b"GET" if klass.repeats is Repeats.SAFE else b"POST"
         if method != wanted:
             raise BadRequest(405, "the class goes by another method", b"Allow: %b\r\n" % wanted)
-        plan = self.needed(headers, b"plan").decode("latin-1")
-        if plan not in self.plans:
+        plan = self.plans.get(self.needed(headers, b"plan"))
+        if plan is None:
             raise BadRequest(400, "Plan names no plan")
         if (body or upload is not None) and method == b"GET":
             raise BadRequest(400, "a GET with a body")
@@ -136,9 +146,10 @@
 
     def customer(self, target: bytes) -> str:
         found: list[bytes] = CLIENT.findall(target)
-        if len(found) != 1 or not CUSTOMER.fullmatch(found[0]):
+        customer = unquote_to_bytes(found[0]) if len(found) == 1 else b""
+        if not CUSTOMER.fullmatch(customer):
             raise BadRequest(400, "client is not 16 hex digits below 2^33")
-        return found[0].decode().lower()
+        return customer.decode().lower()
 
     def needed(self, headers: dict[bytes, bytes], name: bytes) -> bytes:
         value = headers.get(name)
