--- a/embersill/net/discovery.py
+++ b/embersill/net/discovery.py
@@ -106,15 +106,21 @@
     return tuple(dict.fromkeys(read_address(text.strip()) for text in texts))
 
 
+def given(entry: dict[str, Any], key: str, absent: Any) -> Any:
+    """A value that may be left out, or told as null."""
+    value = entry.get(key)
+    return absent if value is None else value
+
+
 def read_entry(entry: dict[str, Any]) -> Entry:
     started = float(entry.get("startedAtMs") or 0.0) / 1000.0
     status = STATUSES.get(str(entry["lifecycle"]), Status.DRAINING)  # unknown: no work
-    rating = float(entry.get("weight", 1.0))
+    rating = float(given(entry, "weight", 1.0))
     if not (isfinite(started) and isfinite(rating)):
         raise ValueError(f"no number: {entry['instanceId']} has weight {rating} and start {started}")
     backend = Backend(
-        address=str(entry["instanceId"]), zone=str(entry.get("zone", "")),
-        kind=str(entry.get("machineType", "")), cell=int(entry.get("cell", 0)), status=status,
+        address=str(entry["instanceId"]), zone=str(given(entry, "zone", "")),
+        kind=str(given(entry, "machineType", "")), cell=int(given(entry, "cell", 0)), status=status,
         rating=rating, started=started or None,
     )
     host_port = entry.get("hostPort")
