Try again after the aim where a late answer keeps its worth

Cause: after_failure() ended at the aim whatever a late answer was worth, where useful_until() keeps an attempt on until the deadline.

--- a/embersill/control.py
+++ b/embersill/control.py
@@ -835,8 +835,7 @@
 
     def useful_until(self, job: Job) -> float:
         # an attempt is given up once its answer is worth little, or a backlog of such work builds up
-        end = job.arrived + job.klass.aim if job.klass.late_share < WORTH_WAITING else job.request.deadline
-        return min(job.request.deadline, max(end, self.now + LATE_AT * job.klass.aim))
+        return min(job.request.deadline, max(worth_until(job), self.now + LATE_AT * job.klass.aim))
 
     def attempt_late(self, job: Job, attempt: Attempt) -> None:
         attempt.overdue = True  # speaks at once, and no longer fills the limit that sound backends need
@@ -880,7 +879,7 @@
 
     def after_failure(self, job: Job, event: AttemptEnded) -> None:
         outcome, usual = event.outcome, self.usual_for(job)
-        end = min(job.request.deadline, job.arrived + job.klass.aim)
+        end = min(job.request.deadline, worth_until(job))
         # one turned away cost no work: only in overload does another come dear; one that broke off cost what
         # it had done, and a connection that was lost as it was used is no sign of load
         free = outcome.never_ran and self.random.random() < self.passed
@@ -1148,6 +1147,11 @@
     return server.backend.zone if klass.scope is Scope.ZONE else server.backend.cell
 
 
+def worth_until(job: Job) -> float:
+    """Until when an answer has most of its worth: the aim, or the deadline where late ones have it too."""
+    return job.arrived + job.klass.aim if job.klass.late_share < WORTH_WAITING else job.request.deadline
+
+
 def check(settings: Settings) -> None:
     """ValueError with the name of a setting that makes no sense."""
     if settings.gateways < 1 or settings.max_attempts < 1:
