Send counter calls over listed aggregators, and bound them by a budget; off by default

Cause: a fleet's counter calls must not grow with its customers, and one counter can't take those of a thousand gateways.

--- a/embersill/__main__.py
+++ b/embersill/__main__.py
@@ -13,7 +13,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, replace
-from typing import Any
+from typing import TYPE_CHECKING, Any, cast
 
 import uvloop
 
@@ -22,7 +22,7 @@
 from embersill.net.backends import Dialer
 from embersill.net.clients import Front
 from embersill.net.console import MOST_CALLERS, Console, Refused
-from embersill.net.counter import Counter
+from embersill.net.counter import Counter, CounterClient
 from embersill.net.discovery import (
     LEAST_LIST, LIST_COST, MOST_LIST, Address, BadList, Discovery, Listing, read_address, read_addresses,
     read_listing,
@@ -30,11 +30,17 @@
 from embersill.net.driver import Driver
 from embersill.net.handover import Handover
 from embersill.net.lameduck import LameDuck
-from embersill.settings import Limits, read_limits, read_pool, read_settings
+from embersill.settings import Limits, read_aggregation, read_limits, read_pool, read_settings
+
+if TYPE_CHECKING:
+    from embersill.net.aggregation import AggregatorRouter
 
 RESERVE = 48 + MOST_CALLERS  # descriptors kept for the listeners, discovery, the counter, the console's
 # callers, and what the run-time itself needs
 RESERVE_PART = 0.25  # of the descriptors, at most, that this may be
+AGGREGATOR_SOCKETS = 64  # descriptors kept besides for aggregators and their list, where these are configured
+AGGREGATOR_PART = 0.125  # of the descriptors, at most, that these may be
+UNPLANNED_PART = 0.25  # of the reserve for aggregators that a running gateway is told of: no other is free
 LEAST_SOCKETS = 32  # with fewer there is nothing left to serve with
 CLIENTS_PART = 0.6  # of the other descriptors: held requests need none at the backends' side
 MB = 1024 * 1024
@@ -78,6 +84,7 @@
     limits: Limits
     lame_duck: float  # seconds between a drain's begin and the end of taking requests
     folder: str | None  # private to this gateway: a process that ran before may have left something there
+    aggregators: tuple[Address, ...] = ()  # the list service of the aggregators, if there are any
 
 
 def read_configuration(environ: dict[str, str]) -> Configuration:
@@ -98,7 +105,9 @@
 
 
 def build_configuration(told: dict[str, Any], environ: dict[str, str]) -> Configuration:
-    settings = replace(read_settings(told["settings"]), pool=read_pool(told.get("pool", {})))
+    settings = replace(
+        read_settings(told["settings"]), pool=read_pool(told.get("pool", {})),
+        aggregation=read_aggregation(told.get("aggregation")))
     counter = read_address(told["counter"]) if settings.counter else None
     console = environ.get("RELAY_CONSOLE") or told.get("console")
     soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
@@ -114,10 +123,19 @@
         memory_mb=float(told["limits"].get("memory_mb", LEAST_MEMORY)),
         known=read_listing(told["known"], ListKind.REMEMBERED), settings=settings,
         limits=read_limits(told["settings"]), lame_duck=read_lame_duck(told),
-        folder=environ.get("TMPDIR") or None,
+        folder=environ.get("TMPDIR") or None, aggregators=read_aggregators(settings),
     )
 
 
+def read_aggregators(settings: Settings) -> tuple[Address, ...]:
+    """Where the aggregators are listed; nowhere, unless the configuration says so."""
+    if settings.aggregation is None or not settings.aggregation.directory:
+        return ()
+    if not settings.counter:
+        raise ValueError("aggregation: directory is told, and the settings have no counter")
+    return read_addresses(settings.aggregation.directory)
+
+
 def read_lame_duck(told: dict[str, Any]) -> float:
     value = told.get("lame_duck_s", LAME_DUCK)
     if isinstance(value, bool) or not isinstance(value, int | float) or not 0 <= value <= 3600:
@@ -138,16 +156,19 @@
     def __init__(self, told: Configuration) -> None:
         clock = start_clock()
         self.loop = asyncio.get_running_loop()
-        free = told.sockets - min(RESERVE, int(told.sockets * RESERVE_PART))
+        reserve = min(RESERVE, int(told.sockets * RESERVE_PART))
+        self.aggregator_sockets = int(reserve * UNPLANNED_PART)
+        free = told.sockets - reserve
+        if told.aggregators:
+            self.aggregator_sockets = min(AGGREGATOR_SOCKETS, int(told.sockets * AGGREGATOR_PART))
+            free -= self.aggregator_sockets
         clients = int(free * CLIENTS_PART)
         self.dialer = Dialer(
             clock, told.limits.dial_timeout, told.limits.keepalive, free - clients, told.settings.pool,
             told.seed)
         self.driver = Driver(Gateway(told.settings, told.seed, clock()), clock, self.dialer)
-        if told.counter is not None:
-            self.driver.counter = Counter(
-                clock, told.counter, told.settings.counter_patience, told.limits.dial_timeout,
-                self.driver.counter_told)
+        self.aggregators = told.aggregators
+        self.driver.counter = self.make_counter(told)
         self.driver.list_told(told.known)
         version = told.known.generation if told.known.entries else None
         self.discovery = Discovery(
@@ -177,6 +198,18 @@
         self.following: asyncio.Task[None] | None = None
         self.settled = False  # the list is discovery's own, or as good as can be had
 
+    def make_counter(self, told: Configuration) -> CounterClient | None:
+        """What makes the counter calls: over aggregators where these are configured."""
+        clock, patience, dial = self.driver.clock, told.settings.counter_patience, told.limits.dial_timeout
+        if told.counter is None:
+            return None
+        if not told.aggregators:
+            return Counter(clock, told.counter, patience, dial, self.driver.counter_told)
+        from embersill.net.aggregation import AggregatorRouter  # loaded only where it is used
+        return AggregatorRouter(
+            clock, told.aggregators, patience, dial, self.driver.counter_told, self.aggregator_sockets,
+            told.seed, told.settings.gateways)
+
     def serves(self) -> bool:
         return self.settled and bool(self.driver.serving)
 
@@ -214,7 +247,7 @@
 
     async def out(self, words: list[str]) -> str:
         backend = only_id(words)
-        told = {"state": self.driver.gateway.standing(backend), "out": self.driver.out(backend),
+        told = {"state": self.driver.standing(backend), "out": self.driver.out(backend),
                 "list": self.discovery.newest}
         return self.done(told)
 
@@ -336,11 +369,24 @@
         log.info("discovery is at %s now", ",".join(f"{host}:{port}" for host, port in told.discovery))
         self.driver.list_age = self.discovery.age if len(told.discovery) > 1 else None
         self.discovery.move(told.discovery)
-        self.driver.tune(told.settings.pool)
-        if self.driver.counter is not None and told.counter is not None:
-            self.driver.counter.move(told.counter)
+        self.driver.tune(told.settings.pool, told.settings.aggregation)
+        self.move_counter(told)
         return None
 
+    def move_counter(self, told: Configuration) -> None:
+        """Counter calls go where they are told to now; those that are out may still be answered."""
+        before, was_routed = self.driver.counter, bool(self.aggregators)
+        if before is None or told.counter is None:
+            return
+        self.aggregators = told.aggregators
+        if was_routed != bool(told.aggregators):
+            self.driver.counter = self.make_counter(told)
+            self.loop.call_later(told.settings.counter_patience, before.close)
+        elif isinstance(before, Counter):
+            before.move(told.counter)
+        else:
+            cast("AggregatorRouter", before).move(told.aggregators)
+
     async def stop(self, still_coming: float = STILL_COMING, all_answered: float | None = None) -> None:
         """Takes what still comes, answers all of it, and leaves nothing behind."""
         self.front.stopping = True
--- /dev/null
+++ b/embersill/call_budget.py
@@ -0,0 +1,82 @@
+"""Bounds the counter calls of one gateway, and tells whose calls can wait: a token bucket with reserves.
+
+In any T seconds at most `burst + rate * T` calls are allowed; after a start, or a failure of the counter, at
+most `rate * T`: the bucket is empty then, so a fleet that comes back together makes no burst. A call that is
+not allowed loses nothing: its units go with the customer's next one. docs/quotas-budget.md has the bounds.
+"""
+
+from __future__ import annotations
+
+from weakref import WeakKeyDictionary
+
+from embersill.control import Throttle
+from embersill.interface import AggregationSettings, Counted
+
+FAR, NEAR = 0.5, 0.8  # shares of a quota in use, below and from which its customer is far from it and near it
+FAR_RESERVE, RESERVE = 0.5, 0.25  # of the burst, left to others by calls for those far, and for those between
+RETRY_AFTER = 0.25  # seconds, at the least, until a call that was not allowed is tried again
+UNTOLD_PART = 0.25  # of a customer's burst that a gateway may send on without a call, or one request
+SAFETY = 4.0  # times the use that was observed with which the time until a quota's end is reckoned
+LONGEST_TRUST = 10.0  # seconds that a reading may stand for: use can begin at any time
+LEAST_SPAN = 0.5  # seconds between the readings from which use is observed: less shows chance alone
+
+
+class CustomerUse:
+    """What the readings of a customer's sum have shown of its use at all gateways."""
+
+    used = trusted_until = total = read_at = 0.0  # `used`: share of the quota
+    name = ""
+    pace: float | None = None  # units a second, once two readings of one name have shown it
+
+
+class CallBudget:
+    """The token bucket of a gateway, and what it knows of the customers that share it."""
+
+    def __init__(self, told: AggregationSettings, now: float) -> None:
+        self.rate, self.burst, self.tokens, self.filled = told.calls_per_second, told.burst, 0.0, now
+        self.deferred: set[str] = set()  # customers whose untold units wait for a call
+        self.uses: WeakKeyDictionary[Throttle, CustomerUse] = WeakKeyDictionary()
+
+    def take(self, throttle: Throttle, urgent: bool, now: float) -> bool:
+        """Whether a call for a customer is allowed, which is then charged."""
+        self.tokens = min(self.burst, self.tokens + self.rate * (now - self.filled))
+        self.filled = now
+        use = self.uses.get(throttle)
+        used = throttle.total / throttle.plan.rate or None if use is None else use.used
+        reserve = FAR_RESERVE if used is not None and used < FAR else RESERVE
+        if urgent or used is not None and used >= NEAR or not self.may_wait(throttle, 0.0):
+            reserve = 0.0
+        if self.tokens < 1.0 + reserve * self.burst:
+            return False
+        self.tokens -= 1.0
+        self.deferred.discard(throttle.customer)
+        return True
+
+    def defer(self, customer: str) -> float:
+        """Seconds until a customer's untold units are tried again: all that wait try as often as calls go."""
+        self.deferred.add(customer)
+        return max(RETRY_AFTER, len(self.deferred) / self.rate)
+
+    def may_wait(self, throttle: Throttle, units: float) -> bool:
+        """Whether these units may join those that the counter has not been told of."""
+        return throttle.uncounted + units <= max(units, UNTOLD_PART * throttle.plan.burst)
+
+    def covers(self, throttle: Throttle, units: float, now: float) -> bool:
+        """Whether these units may be sent on by the last reading: the quota can't be used up by now."""
+        use = self.uses.get(throttle)
+        return use is not None and now < use.trusted_until and self.may_wait(throttle, units)
+
+    def note(self, throttle: Throttle, event: Counted, corrected: float, spare: float, now: float) -> float:
+        """Takes in a reading, which adds `corrected` for nothing sent; until when it can be trusted."""
+        use, plan = self.uses.setdefault(throttle, CustomerUse()), throttle.plan
+        use.total += corrected
+        if event.name != use.name or now - use.read_at >= LEAST_SPAN:
+            if event.name == use.name:
+                seen = max(0.0, event.total - use.total) / (now - use.read_at)
+                use.pace = max(seen, (use.pace or 0.0) / 2)  # it rises at once, and falls by readings
+            use.name, use.total, use.read_at = event.name, event.total, now
+        use.used = -min(spare, 0.0) / plan.burst
+        growth, room = SAFETY * (use.pace or 0.0) - plan.rate, (0.5 - use.used) * plan.burst
+        trust = LONGEST_TRUST if growth <= 0 else min(LONGEST_TRUST, max(room, 0.0) / growth)
+        use.trusted_until = now + trust if use.pace is not None and room > 0 else 0.0
+        return use.trusted_until
--- a/embersill/control.py
+++ b/embersill/control.py
@@ -6,18 +6,23 @@
 import zlib
 from bisect import bisect
 from collections import Counter, deque
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import replace
 from itertools import accumulate
 from math import ceil, exp, gcd, inf, sqrt
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from embersill.interface import (
-    Action, Alone, AttemptEnded, Backend, BackendList, Cancel, ClientLeft, Count, Counted, Event, Fail,
-    HangUp, Inherit, ListKind, OpenFailed, Outcome, Plan, Refuse, Repeats, Request, RequestClass, Restore,
-    Scope, Send, SetTimer, Settings, Settle, Size, Status, StreamBegun, Subscribe, Suspend, TimerDue, Tuned,
-    Uploaded, Warm,
+    Action, AggregationSettings, Alone, AttemptEnded, Backend, BackendList, Cancel, ClientLeft, Count,
+    Counted, Event, Fail, HangUp, Inherit, ListKind, OpenFailed, Outcome, Plan, PoolSettings, Refuse, Repeats,
+    Request, RequestClass, Restore, Scope, Send, SetTimer, Settings, Settle, Size, Status, StreamBegun,
+    Subscribe, Suspend, TimerDue, Tuned, Uploaded, Warm,
 )
+from embersill.records import GATEWAY_STATE, SERVER_STATE, THROTTLE_STATE, Attempt, Job
+from embersill.settings import check
+
+if TYPE_CHECKING:
+    from embersill.call_budget import CallBudget
 
 PERIOD = 1.0  # seconds a demand count covers; the design's own, and short against a client's patience
 HOLD_SHARE = 0.4  # of the aim that a request may wait for credit: the rest must do for the backend
@@ -76,12 +81,6 @@
 LOAD_CHANCE = 2.0  # standard deviations of what is out at once, above its mean, for which idle ones are kept
 WARM_OVER = 1.0  # seconds over which gateways spread what they open ahead: a list reaches all at once
 EPS = 1e-9  # float slack where levels are compared
-# what a successor is handed of a gateway, of a customer's throttle, and of a backend
-GATEWAY_STATE = ("born", "fleet_fails", "retry_credit", "passed", "judged", "limit", "flight", "quiet_until",
-                 "count_fails", "counted_part")
-THROTTLE_STATE = ("share", "level", "stamp", "cap", "second", "asked", "last_asked", "own", "total",
-                  "read_until", "fresh_until", "uncounted", "open")
-SERVER_STATE = ("started", "bad", "touched", "limit", "flight", "calls")
 
 
 class Throttle:
@@ -154,26 +153,6 @@
         return full and not (self.queue or self.open or self.counting or self.calls or self.asking)
 
 
-class Job:
-    """A request this gateway owes an answer, with its attempts."""
-
-    def __init__(self, request: Request, klass: RequestClass, throttle: Throttle, now: float) -> None:
-        self.request, self.klass, self.throttle, self.arrived = request, klass, throttle, now
-        self.attempts: list[Attempt] = []
-        self.out, self.hold_until = 0, now
-        self.ended = self.streaming = self.settled = self.trusted = self.sure = False
-        self.uploading = request.uploading
-        self.counted = 0.0  # units the counter was told of it; below nought: it stays uncounted
-        self.risky: Attempt | None = None  # the first attempt not proven unrun
-
-
-class Attempt:
-    def __init__(self, server: Server, now: float, weight: float) -> None:
-        self.server, self.sent, self.weight = server, now, weight
-        self.out, self.unrun, self.overdue = True, False, False
-        self.busy = True  # the backend has its answer still to make
-
-
 class Server:
     """What this gateway knows of one backend."""
 
@@ -237,42 +216,31 @@
         self.capacity = 1.0  # of those that serve, in warm backends
         self.quiet_until, self.count_fails = now, 0
         self.counted_part = min(1.0, COUNTED_GATEWAYS / settings.gateways)
+        self.budget: CallBudget | None = None
+        self.tune(settings.pool, settings.aggregation)
         # part of the counted thin requests that had the credit, by plan and whether the slice covered them
         self.granted = {(p.name, sure): float(sure) for p in settings.plans for sure in (False, True)}
 
     def handle(self, event: Event, now: float) -> list[Action]:
         self.now = max(self.now, now)
         self.actions = []
-        if isinstance(event, Request):
-            self.arrive(event)
-        elif isinstance(event, AttemptEnded):
-            self.attempt_ended(event)
-        elif isinstance(event, TimerDue):
-            self.timer_due(event.key)
-        elif isinstance(event, Counted):
-            self.counted(event)
-        elif isinstance(event, BackendList):
-            self.list_changed(event)
-        elif isinstance(event, ClientLeft):
-            self.client_left(event.request)
-        elif isinstance(event, Suspend | Restore):
-            self.ban(event)
-        elif isinstance(event, Inherit):
-            self.inherit(event.state)
-        elif isinstance(event, Alone):
-            self.alone()
-        elif isinstance(event, StreamBegun):
-            self.stream_begun(event)
-        elif isinstance(event, Uploaded):
-            self.uploaded(event.request)
-        elif isinstance(event, OpenFailed):
-            self.open_failed(event)
-        elif isinstance(event, Tuned):
-            self.settings = replace(self.settings, pool=event.pool)
-        elif isinstance(event, Settle):
-            self.settle_all()
+        handler = HANDLERS.get(type(event))
+        if handler is not None:
+            handler(self, event)
         return self.actions
 
+    def tune(self, pool: PoolSettings, told: AggregationSettings | None) -> None:
+        """Takes how connections are kept and counter calls bounded; with a bound all use is counted."""
+        if self.settings.aggregation != told:
+            self.budget = None
+        self.settings = replace(self.settings, pool=pool, aggregation=told)
+        if told is not None and self.budget is None:
+            from embersill.call_budget import CallBudget  # loaded only where it is used
+            self.budget, self.counted_part = CallBudget(told, self.now), 1.0
+
+    def may_call(self, throttle: Throttle, urgent: bool = False) -> bool:
+        """Whether the budget, if there is one, allows a counter call, and is charged for it."""
+        return self.budget is None or self.budget.take(throttle, urgent, self.now)
 
     def arrive(self, request: Request) -> None:
         if request.id in self.jobs:
@@ -374,8 +342,11 @@
         if self.handed:
             return  # the successor counts for both
         if throttle.thin:
-            if throttle.uncounted and self.now >= self.quiet_until:
+            if throttle.uncounted and self.now >= self.quiet_until and self.may_call(throttle):
                 self.count_use(throttle, 0.0)
+            elif throttle.uncounted and self.budget is not None:
+                throttle.counting = True
+                self.actions.append(SetTimer(self.budget.defer(throttle.customer), "c" + throttle.customer))
             return
         throttle.note_demand(0.0, self.now)
         second, asked = throttle.second - 1, throttle.last_asked
@@ -387,7 +358,7 @@
             self.start_counting(throttle)
         even = throttle.plan.rate / throttle.width
         needy = throttle.level < (1.0 - NEED_SHARE) * throttle.bank or throttle.own > NEED_SHARE * even
-        if self.now >= self.quiet_until and needy:
+        if self.now >= self.quiet_until and needy and (asked <= 0 or self.may_call(throttle)):
             throttle.added = asked
             if asked > 0:
                 self.actions.append(Count(f"{throttle.customer}.{second}", asked, 4 * PERIOD))
@@ -403,9 +374,12 @@
             self.counted_part = min(1.0, self.counted_part * COUNT_MORE)
         elif waited or event.outcome is not Outcome.TIMED_OUT:
             self.count_fails = min(self.count_fails + 1, 4)  # it is left alone for longer: the even slice
-            lone = self.count_fails < 2 and event.outcome is Outcome.TIMED_OUT  # one late among prompt ones
+            late = event.outcome is Outcome.TIMED_OUT or self.budget is not None
+            lone = self.count_fails < 2 and late  # one late among prompt ones, or one of several aggregators
             if not lone:
                 self.quiet_until = self.now + PERIOD * 2 ** self.count_fails / 8
+            if not lone and self.budget is not None:
+                self.budget.tokens = 0.0  # what was saved up must not come down on it at its return
             if event.outcome is not Outcome.NO_CONNECTION and self.count_fails < 3:  # crowded, not silent
                 self.counted_part = max(self.counted_part * COUNT_LESS, LEAST_PART)
         if throttle is not None and throttle.thin:
@@ -426,7 +400,6 @@
         throttle.set_share(max(rate / quota, LEAST_SLICE / throttle.width), self.now)
         self.release(throttle)
 
-
     def read_level(self, job: Job) -> None:
         """Asks the counter for the customer's level where the slice at this gateway can't tell.
 
@@ -438,17 +411,21 @@
         even = self.now >= throttle.read_until
         if even and throttle.share == 1.0:
             throttle.set_share(1.0 / throttle.width, self.now)
-        if throttle.asking or self.now < max(throttle.fresh_until, self.quiet_until):
+        trusted = self.budget is not None and self.budget.covers(throttle, units, self.now)
+        if trusted or throttle.asking or self.now < max(throttle.fresh_until, self.quiet_until):
             return
         wait = throttle.wait(units)
         if not even and wait > job.hold_until - self.now:
             return  # too little, even if no other gateway has used any since
         sure = wait <= 0 and (even or throttle.level >= throttle.bank / 2)
         passes = not self.doubtful(throttle.plan, sure)
-        if self.random.random() >= self.counted_part:
+        if self.random.random() >= self.counted_part or not self.may_call(throttle):
             job.counted, job.trusted = -1.0, passes
+            if self.budget is not None:  # it is told in full with a later call, or not sent on
+                job.trusted = passes and self.budget.may_wait(throttle, units)
+                job.counted = 0.0 if job.trusted else -1.0
             return
-        job.sure, job.counted = sure, units / self.counted_part if passes else units
+        job.sure, job.counted = sure, units / self.counted_part if passes and not self.budget else units
         throttle.asking = True
         self.count_use(throttle, job.counted)
 
@@ -495,9 +472,13 @@
             burst = throttle.plan.burst
             spare = throttle.plan.rate * (self.now % EPOCH) - event.total  # unused, were there no burst
             twice = call[3] - max(0.0, spare + call[2] + call[3])  # others put it right before this call came
-            if call[3] > 0 and twice > EPS:
+            note = self.budget.note if self.budget is not None else None
+            trusted = note(throttle, event, call[3], spare, self.now) if note else 0.0
+            if call[3] > 0 and twice > EPS and not self.may_call(throttle):
+                self.tell_soon(throttle, -twice)
+            elif call[3] > 0 and twice > EPS:
                 self.count_use(throttle, 0.0, -twice)
-            elif not call[3] and (spare > burst or call[2] and spare > SOON * burst):
+            elif not call[3] and spare > (SOON * burst if call[2] else burst) and self.may_call(throttle):
                 self.count_use(throttle, 0.0, spare)
             throttle.set_share(1.0, self.now)
             level = burst + spare + call[1]
@@ -509,13 +490,14 @@
                 self.tell_soon(throttle, -min(call[2] - call[1], -level))
             throttle.level = min(burst, level) - throttle.held
             throttle.fresh_until = self.now + PERIOD / 10
-            throttle.read_until = self.now + READING_LIFE * PERIOD
+            throttle.read_until = max(self.now + READING_LIFE * PERIOD, trusted)
         elif event.outcome is not Outcome.TIMED_OUT:
             throttle.uncounted += call[2]
+            if self.budget is not None:
+                self.tell_soon(throttle, 0.0)
         throttle.asking = False
         self.release(throttle)
 
-
     def usual_for(self, job: Job) -> float:
         """Seconds such a request takes on the fleet."""
         fallback = self.usual.get((job.klass.name, 0.0), job.klass.aim / 8)
@@ -840,7 +822,6 @@
         self.flight -= 1
         self.judge(True, attempt.server)
 
-
     def attempt_ended(self, event: AttemptEnded) -> None:
         job = self.jobs.get(event.request)
         if job is None or not 0 <= event.attempt < len(job.attempts) or not job.attempts[event.attempt].out:
@@ -920,7 +901,6 @@
         self.kinds[name] = self.kinds.get(name, 1.0) + BLEND / 3 * (slow - self.kinds.get(name, 1.0))
         return None
 
-
     def answer(self, job: Job, retry_after: float, why: str) -> None:
         """The one place where the gateway ends a request; refuses only where a retry is proven harmless."""
         if job.ended or job.streaming:
@@ -982,7 +962,7 @@
             self.release(throttle)
         elif kind == "c":
             self.add_demand(throttle)
-        elif kind == "d" and self.now >= self.quiet_until:
+        elif kind == "d" and self.now >= self.quiet_until and self.may_call(throttle, throttle.added > 0):
             throttle.reading = f"{rest}.{second}"
             self.actions.append(Count(throttle.reading, 0.0, 4 * PERIOD))
         return None
@@ -1096,20 +1076,22 @@
             setattr(what, name, getattr(what, name) - number)
         self.before = []
 
-    def standing(self, address: str) -> str:
-        """What this gateway holds a backend to be, for staff who wait until nothing goes there."""
-        server = self.servers.get(address)
-        if address in self.banned:
-            return "taken out"
-        if server is not None:
-            return server.backend.status.value
-        return "gone" if address in self.known else "unknown"
-
     def down(self) -> int:
         """How many listed backends are avoided at present: by hand, by the list, or for their failures."""
         return sum(s not in self.order or self.held_against(s) >= FAILING for s in self.servers.values())
 
 
+HANDLERS: dict[type[Event], Callable[[Gateway, Any], None]] = {
+    Request: Gateway.arrive, AttemptEnded: Gateway.attempt_ended, Counted: Gateway.counted,
+    BackendList: Gateway.list_changed, Suspend: Gateway.ban, Restore: Gateway.ban,
+    StreamBegun: Gateway.stream_begun, OpenFailed: Gateway.open_failed,
+    TimerDue: lambda g, event: g.timer_due(event.key), Inherit: lambda g, event: g.inherit(event.state),
+    ClientLeft: lambda g, event: g.client_left(event.request), Alone: lambda g, event: g.alone(),
+    Uploaded: lambda g, event: g.uploaded(event.request), Settle: lambda g, event: g.settle_all(),
+    Tuned: lambda g, event: g.tune(event.pool, event.aggregation),
+}
+
+
 def moved(limit: float, late: bool, out: int, least: float) -> float:
     """A limit on what is out, after an answer: under what was out for a late one, more if it was in use."""
     if late:
@@ -1134,18 +1116,3 @@
     if klass.scope is Scope.ALL:
         return ""
     return server.backend.zone if klass.scope is Scope.ZONE else server.backend.cell
-
-
-def check(settings: Settings) -> None:
-    """ValueError with the name of a setting that makes no sense."""
-    if settings.gateways < 1 or settings.max_attempts < 1:
-        raise ValueError(f"settings: {'gateways' if settings.gateways < 1 else 'max_attempts'} is below 1")
-    names = ("warm_within", "overload_for", "fall_multiple", "cold_from", "max_retry_after", "ask_every")
-    sets: list[tuple[object, str, tuple[str, ...]]] = [(settings, "", names)]
-    figures = ("rate", "burst", "ceiling_rate", "ceiling_depth", "concurrency")
-    sets += [(plan, f" of plan {plan.name}", figures) for plan in settings.plans]
-    sets += [(klass, f" of class {klass.name}", ("aim", "deadline", "memory")) for klass in settings.classes]
-    for source, where, keys in sets:
-        for name in keys:
-            if getattr(source, name) < 0:
-                raise ValueError(f"settings: {name}{where} is below nought")
--- a/embersill/interface.py
+++ b/embersill/interface.py
@@ -95,6 +95,15 @@
     learned: bool = True  # what a backend accepts is learned from failed opens
 
 
+@dataclass(frozen=True, slots=True)
+class AggregationSettings:
+    """How a gateway's counter calls are bounded, and where its aggregators are listed."""
+
+    directory: str = ""  # addresses of the aggregators' list service; none: calls go to the counter
+    calls_per_second: float = 40.0  # counter calls that the gateway may make, whatever it serves
+    burst: float = 80.0  # calls that may be saved up while fewer are made
+
+
 @dataclass(frozen=True, slots=True)
 class Settings:
     me: int
@@ -120,6 +129,7 @@
     most_units: float
     settles: bool
     pool: PoolSettings = PoolSettings()
+    aggregation: AggregationSettings | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -246,9 +256,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Tuned:
-    """Staff have changed how connections are kept."""
+    """Staff have changed how connections are kept, or how counter calls are bounded."""
 
     pool: PoolSettings
+    aggregation: AggregationSettings | None = None
 
 
 Event = (
--- a/embersill/net/counter.py
+++ b/embersill/net/counter.py
@@ -8,7 +8,7 @@
 import zlib
 from collections import deque
 from collections.abc import Callable
-from typing import cast
+from typing import Protocol, cast
 
 import hiredis
 
@@ -127,17 +127,25 @@
     return Outcome.TIMED_OUT, 0.0  # neither a total nor an error: it may have been added
 
 
+class CounterClient(Protocol):
+    """What makes counter calls: the counter's own client, or one that divides them over aggregators."""
+
+    def add(self, name: str, amount: float, forget_after: float) -> None: ...
+
+    def close(self) -> None: ...
+
+
 class Counter:
     """The calls of one gateway. `told` hears of each exactly once, at its patience's end at the latest."""
 
     def __init__(
         self, clock: Callable[[], float], address: tuple[str, int], patience: float, dial_timeout: float,
-        told: Callable[[Counted], None],
+        told: Callable[[Counted], None], lines: int = LINES,
     ) -> None:
         self.clock, self.address, self.patience, self.told = clock, address, patience, told
         self.dial_timeout = dial_timeout
         self.loop = asyncio.get_running_loop()
-        self.lines: list[CounterLine | None] = [None] * LINES
+        self.lines: list[CounterLine | None] = [None] * lines
         self.left: list[CounterLine] = []  # at the address before: they only wait for their answers
         self.dials: set[asyncio.Task[None]] = set()
 
@@ -146,7 +154,7 @@
         call = CounterCall(name, now)
         call.timer = self.loop.call_later(self.patience, self.out_of_patience, call)
         # by customer: calls for one name keep their order, and so do the names of one customer
-        place = zlib.crc32(name.partition(".")[0].encode()) % LINES
+        place = zlib.crc32(name.partition(".")[0].encode()) % len(self.lines)
         line = self.lines[place]
         if line is None or not line.fit(now):
             if line is not None:
@@ -164,7 +172,7 @@
             return
         self.address = address
         left = [line for line in self.lines if line is not None]
-        self.lines = [None] * LINES
+        self.lines = [None] * len(self.lines)
         self.left += left
         self.loop.call_later(self.patience, self.leave, left)
 
--- a/embersill/net/driver.py
+++ b/embersill/net/driver.py
@@ -17,13 +17,13 @@
 
 from embersill.control import Gateway
 from embersill.interface import (
-    Action, Alone, AttemptEnded, BackendList, Cancel, ClientLeft, Count, Counted, Event, Fail,
-    HangUp, Inherit, OpenFailed, Outcome, PoolSettings, Refuse, Request, Restore, Send, SetTimer, Settle,
-    Size, Status, StreamBegun, Suspend, TimerDue, Tuned, Uploaded, Warm,
+    Action, AggregationSettings, Alone, AttemptEnded, BackendList, Cancel, ClientLeft, Count, Counted, Event,
+    Fail, HangUp, Inherit, OpenFailed, Outcome, PoolSettings, Refuse, Request, Restore, Send, SetTimer,
+    Settle, Size, Status, StreamBegun, Suspend, TimerDue, Tuned, Uploaded, Warm,
 )
 from embersill.net.backends import Answer, Attempt, Dialer
 from embersill.net.bodies import Sink, Upload
-from embersill.net.counter import Counter
+from embersill.net.counter import CounterClient
 from embersill.net.discovery import Listing
 from embersill.net.figures import Figures
 
@@ -91,7 +91,7 @@
     def __init__(self, gateway: Gateway, clock: Callable[[], float], dialer: Dialer) -> None:
         self.gateway, self.clock, self.dialer, self.pool = gateway, clock, dialer, dialer.pool
         self.pool.open_failed = lambda backend, up: self.post(OpenFailed(backend, up))
-        self.counter: Counter | None = None
+        self.counter: CounterClient | None = None
         self.loop = asyncio.get_running_loop()
         self.pending: dict[int, Pending] = {}
         self.unanswered = 0
@@ -339,10 +339,10 @@
             hosts_listed=len(self.gateway.servers), hosts_down=self.gateway.down(),
             pool_connections=len(self.pool.links), pool_idle=self.pool.idle(), **pool, **more)
 
-    def tune(self, pool: PoolSettings) -> None:
-        """Staff have changed how connections are kept."""
+    def tune(self, pool: PoolSettings, aggregation: AggregationSettings | None = None) -> None:
+        """Staff have changed how connections are kept, or how counter calls are bounded."""
         self.pool.settings = pool
-        self.post(Tuned(pool))
+        self.post(Tuned(pool, aggregation))
 
     def suspend(self, backend: str) -> bool:
         """Takes a backend out; False where it was never listed."""
@@ -353,6 +353,15 @@
         self.post(Restore(backend))
         return backend in self.gateway.known
 
+    def standing(self, backend: str) -> str:
+        """What the module holds a backend to be, for staff who wait until nothing goes there."""
+        server = self.gateway.servers.get(backend)
+        if backend in self.gateway.banned:
+            return "taken out"
+        if server is not None:
+            return server.backend.status.value
+        return "gone" if backend in self.gateway.known else "unknown"
+
     def out(self, backend: str) -> int:
         """Attempts that are out there: each has its connection, or waits for one."""
         return sum(a.backend == backend and not a.ended for p in self.pending.values() for a in p.attempts)
--- /dev/null
+++ b/embersill/records.py
@@ -0,0 +1,38 @@
+"""What a gateway keeps of the requests in its hands: data alone, which embersill/control.py decides by."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from embersill.interface import Request, RequestClass
+
+if TYPE_CHECKING:
+    from embersill.control import Server, Throttle
+# what a successor is handed of a gateway, of a customer's throttle, and of a backend
+GATEWAY_STATE = ("born", "fleet_fails", "retry_credit", "passed", "judged", "limit", "flight", "quiet_until",
+                 "count_fails", "counted_part")
+THROTTLE_STATE = ("share", "level", "stamp", "cap", "second", "asked", "last_asked", "own", "total",
+                  "read_until", "fresh_until", "uncounted", "open")
+SERVER_STATE = ("started", "bad", "touched", "limit", "flight", "calls")
+
+
+class Job:
+    """A request this gateway owes an answer, with its attempts."""
+
+    def __init__(self, request: Request, klass: RequestClass, throttle: Throttle, now: float) -> None:
+        self.request, self.klass, self.throttle, self.arrived = request, klass, throttle, now
+        self.attempts: list[Attempt] = []
+        self.out, self.hold_until = 0, now
+        self.ended = self.streaming = self.settled = self.trusted = self.sure = False
+        self.uploading = request.uploading
+        self.counted = 0.0  # units the counter was told of it; below nought: it stays uncounted
+        self.risky: Attempt | None = None  # the first attempt not proven unrun
+
+
+class Attempt:
+    """One send of a request to a backend."""
+
+    def __init__(self, server: Server, now: float, weight: float) -> None:
+        self.server, self.sent, self.weight = server, now, weight
+        self.out, self.unrun, self.overdue = True, False, False
+        self.busy = True  # the backend has its answer still to make
--- a/embersill/settings.py
+++ b/embersill/settings.py
@@ -5,7 +5,9 @@
 from dataclasses import dataclass, fields
 from typing import Any
 
-from embersill.interface import Plan, PoolSettings, Repeats, RequestClass, Scope, Settings, Status
+from embersill.interface import (
+    AggregationSettings, Plan, PoolSettings, Repeats, RequestClass, Scope, Settings, Status,
+)
 
 REPEATS = {"repeatable": Repeats.SAFE, "by_key": Repeats.BY_KEY, "once": Repeats.ONCE}
 SCOPES = {"all": Scope.ALL, "zone": Scope.ZONE, "cell": Scope.CELL}
@@ -113,3 +115,43 @@
             if isinstance(value, bool) or not number or not least <= value <= most:
                 raise ValueError(f"pool: {key} is no {whole} from {least:g} to {most:g}: {value!r}")
     return PoolSettings(**told)
+
+
+# of each number in `aggregation`, the least and the most that makes sense
+AGGREGATION_RANGES: dict[str, tuple[float, float]] = {
+    "calls_per_second": (0.1, 100_000.0), "burst": (2.0, 100_000.0)}
+
+
+def read_aggregation(told: Any) -> AggregationSettings | None:
+    """The part `aggregation` of a gateway's configuration; ValueError names what is wrong."""
+    if told is None:
+        return None
+    if not isinstance(told, dict):
+        raise ValueError("aggregation is no object")
+    known = [f.name for f in fields(AggregationSettings)]
+    for key, value in told.items():
+        if key not in known:
+            raise ValueError(f"aggregation: unknown key {key!r}; known are {', '.join(known)}")
+        if key == "directory" and not isinstance(value, str):
+            raise ValueError(f"aggregation: directory is no text: {value!r}")
+        if key in AGGREGATION_RANGES:
+            least, most = AGGREGATION_RANGES[key]
+            number = isinstance(value, int | float) and not isinstance(value, bool)
+            if not number or not least <= value <= most:
+                raise ValueError(f"aggregation: {key} is no number from {least:g} to {most:g}: {value!r}")
+    return AggregationSettings(**told)
+
+
+def check(settings: Settings) -> None:
+    """ValueError with the name of a setting that makes no sense."""
+    if settings.gateways < 1 or settings.max_attempts < 1:
+        raise ValueError(f"settings: {'gateways' if settings.gateways < 1 else 'max_attempts'} is below 1")
+    names = ("warm_within", "overload_for", "fall_multiple", "cold_from", "max_retry_after", "ask_every")
+    sets: list[tuple[object, str, tuple[str, ...]]] = [(settings, "", names)]
+    figures = ("rate", "burst", "ceiling_rate", "ceiling_depth", "concurrency")
+    sets += [(plan, f" of plan {plan.name}", figures) for plan in settings.plans]
+    sets += [(klass, f" of class {klass.name}", ("aim", "deadline", "memory")) for klass in settings.classes]
+    for source, where, keys in sets:
+        for name in keys:
+            if getattr(source, name) < 0:
+                raise ValueError(f"settings: {name}{where} is below nought")
--- a/tests/test_idle.py
+++ b/tests/test_idle.py
@@ -12,6 +12,7 @@
 
 from embersill.lab.peers import HOST, free_port
 from embersill.net.clients import READ_WITHIN
+from embersill.net.counter import Counter
 from tests.bed import READY, Bed, request, run, with_bed
 from tests.test_program import ROOT, RUN, drained, process, until_ready
 
@@ -55,7 +56,7 @@
     async def test(bed: Bed) -> None:
         client = await bed.client()
         assert (await client.ask(request(1)))[0] == 200
-        assert bed.program.driver.counter is not None
+        assert isinstance(bed.program.driver.counter, Counter)
         bed.program.driver.counter.add("c.1", 1.0, 1.0)
         await asyncio.sleep(0.02)
         transports = [c.transport for c in bed.program.front.connections]
