Tell of counter calls in their order per name, and keep settled units on a timer

Cause: the module knows a call by its name and place; a router whose members change, or a line that broke with its last call unsent, told of a later one first. And units given back by a settlement had no timer. Result: the property over random orders, losses and settlements passes; routing tests pass.

--- a/embersill/control.py
+++ b/embersill/control.py
@@ -293,6 +293,8 @@
 
     def release(self, throttle: Throttle) -> None:
         """Lets go what the credit covers, turns away what waited too long, and sets the next exact timer."""
+        if self.budget is not None and throttle.uncounted:
+            self.tell_soon(throttle, 0.0)
         throttle.refill(self.now)
         while throttle.queue and not throttle.asking:
             job = throttle.queue[0]
@@ -494,8 +496,6 @@
             throttle.read_until = max(self.now + READING_LIFE * PERIOD, trusted)
         elif event.outcome is not Outcome.TIMED_OUT:
             throttle.uncounted += call[2]
-            if self.budget is not None:
-                self.tell_soon(throttle, 0.0)
         throttle.asking = False
         self.release(throttle)
 
--- a/embersill/net/aggregation.py
+++ b/embersill/net/aggregation.py
@@ -13,6 +13,7 @@
 import asyncio
 import hashlib
 import logging
+from collections import deque
 from collections.abc import Callable, Sequence
 
 from embersill.interface import Counted, Outcome, Status
@@ -42,8 +43,19 @@
         return weight.digest()
 
 
+class PlacedCall:
+    """A call that is out, or whose end waits until the calls before it for the same name have theirs."""
+
+    def __init__(self, counter: Counter | None) -> None:
+        self.counter = counter
+        self.end: Counted | None = None
+
+
 class AggregatorRouter:
-    """The counter calls of one gateway, made as `Counter` makes them: `told` hears of each exactly once."""
+    """The counter calls of one gateway, made as `Counter` makes them.
+
+    `told` hears of each exactly once; of those for one name in their order, also where its member changes.
+    """
 
     def __init__(
         self, clock: Callable[[], float], directory: Sequence[Address], patience: float, dial_timeout: float,
@@ -54,6 +66,7 @@
         self.most_open = max(1, connections - LIST_CONNECTIONS)
         self.loop = asyncio.get_running_loop()
         self.members: dict[str, Member] = {}
+        self.calls: dict[str, deque[PlacedCall]] = {}  # that `told` has not heard of, by name
         self.leaving: set[Counter] = set()  # of members that left: they only wait for their answers
         self.discovery = Discovery(
             directory, dial_timeout, self.members_told, seed=seed, gateways=gateways)
@@ -64,9 +77,30 @@
         """Makes a call at the member of the name's customer."""
         member = self.member_of(name.rpartition(".")[0])
         counter = None if member is None else self.counter_of(member)
+        call = PlacedCall(counter)
+        self.calls.setdefault(name, deque()).append(call)
         if counter is None:
-            return self.told(Counted(name, Outcome.NO_CONNECTION, 0.0, 0.0))
-        return counter.add(name, amount, forget_after)
+            self.end(call, Counted(name, Outcome.NO_CONNECTION, 0.0, 0.0))
+        else:
+            counter.add(name, amount, forget_after)
+
+    def answered(self, counter: Counter, counted: Counted) -> None:
+        """A member's connection told of the first call for this name that is out there."""
+        for call in self.calls.get(counted.name, ()):
+            if call.counter is counter and call.end is None:
+                return self.end(call, counted)
+        return None
+
+    def end(self, call: PlacedCall, counted: Counted) -> None:
+        """Tells of a call, and of those behind it that have ended; not before those ahead of it."""
+        call.end = counted
+        calls = self.calls[counted.name]
+        while calls and calls[0].end is not None:
+            ended = calls.popleft().end
+            if not calls:
+                self.calls.pop(counted.name, None)
+            assert ended is not None
+            self.told(ended)
 
     def member_of(self, customer: str) -> Member | None:
         """The serving member with the highest weight for a customer."""
@@ -78,11 +112,16 @@
     def counter_of(self, member: Member) -> Counter | None:
         """The member's connection, opened now if need be; None where no more may be open."""
         if member.counter is None and self.has_room():
-            member.counter = Counter(
-                self.clock, member.address, self.patience, self.dial_timeout, self.told, LINES_EACH)
+            member.counter = self.connect(member.address)
         member.used = self.clock()
         return member.counter
 
+    def connect(self, address: Address) -> Counter:
+        counter = Counter(
+            self.clock, address, self.patience, self.dial_timeout,
+            lambda counted: self.answered(counter, counted), LINES_EACH)
+        return counter
+
     def has_room(self) -> bool:
         """Whether one more connection may be opened; the one longest unused makes way for it."""
         open_members = [member for member in self.members.values() if member.counter is not None]
--- a/embersill/net/counter.py
+++ b/embersill/net/counter.py
@@ -106,10 +106,11 @@
     def end(self) -> None:
         """Tells what can be told of the calls left: the unwritten added nothing, the others may have."""
         self.dead = True
-        if self.unsent and self.written:
-            self.counter.answered(self.written.pop(), Outcome.NO_CONNECTION, 0.0)
-        while self.written:
+        unsent = self.written.pop() if self.unsent and self.written else None
+        while self.written:  # in their order: the module knows a call by its name and its place among them
             self.counter.answered(self.written.popleft(), Outcome.TIMED_OUT, 0.0)
+        if unsent is not None:
+            self.counter.answered(unsent, Outcome.NO_CONNECTION, 0.0)
         for call, _ in self.unwritten:
             self.counter.answered(call, Outcome.NO_CONNECTION, 0.0)
         self.unwritten = []
--- a/tests/test_aggregation_routing.py
+++ b/tests/test_aggregation_routing.py
@@ -23,8 +23,8 @@
 from embersill.net.counter import Counter
 from embersill.net.discovery import Listing, read_listing
 from embersill.settings import read_aggregation
-from tests.bed import Bed, roomy_settings, run, with_bed
-from tests.peers import SOON, CounterPeer, DiscoveryPeer, entry
+from tests.bed import Bed, request, roomy_settings, run, with_bed
+from tests.peers import SOON, CounterPeer, DiscoveryPeer, entry, settings_text
 
 PATIENCE = 0.3  # seconds: long for loopback, short for a test that waits for its end
 UNLIKELY = 0.001  # chance below which a spread is not taken for an even one
@@ -264,6 +264,33 @@
     run(test)
 
 
+def test_ends_for_one_name_are_told_in_order_though_its_member_changed() -> None:
+    # the module takes the first end for a name as that of its first call for it
+    async def test() -> None:
+        async with fleet(2) as made:
+            leaver = made.peers["aggregator-1"]
+            here = made.customers_of("aggregator-1", 5)
+            leaver.free.clear()
+            made.add(here, 1.0)
+            await made.until(lambda: bool(leaver.calls))
+            await made.directory.change(made.entry("aggregator-1", "DRAINING"))
+            await made.listed(1)
+            made.add(here, 2.0)
+            await made.until(lambda: len(made.peers["aggregator-0"].calls) == 5)
+            made.router.members_told(listing([]))
+            made.add(here, 4.0)  # ends at once, and is told of last
+            await asyncio.sleep(0.02)
+            assert not made.told
+            leaver.free.set()
+            await made.outcomes(15)
+            for customer in here:
+                ends = [(c.outcome, c.total) for c in made.told if c.name == f"{customer}.7"]
+                assert ends == [(Outcome.SERVED, 1.0), (Outcome.SERVED, 2.0), (Outcome.NO_CONNECTION, 0.0)]
+            assert not made.router.calls
+
+    run(test)
+
+
 def test_what_a_leaver_does_not_answer_ends_with_its_patience_once() -> None:
     async def test() -> None:
         async with fleet(2) as made:
@@ -487,6 +514,62 @@
     with_bed(test)
 
 
+class AggregatedBed(Bed):
+    """A gateway with three aggregators, from its start."""
+
+    def __init__(self) -> None:
+        super().__init__(1)
+        self.directory = DiscoveryPeer()
+        self.aggregators = [CounterPeer() for _ in range(3)]
+
+    def told(self, env: dict[str, Any], sockets: int) -> dict[str, Any]:
+        part = {"directory": self.directory.address, "calls_per_second": 1000.0, "burst": 10.0}
+        return {**super().told(env, sockets), "aggregation": part}
+
+    async def begin(self) -> None:
+        for peer in (self.directory, *self.aggregators):
+            await peer.start()
+        self.directory.entries = {
+            f"a{n}": entry(f"a{n}", peer.address) for n, peer in enumerate(self.aggregators)}
+        env = settings_text()
+        env["domain"]["max_units"] = 1000.0  # no slice holds such a request: all go by the counter's level
+        await self.start(env, 1024)
+        router = self.program.driver.counter
+        async with asyncio.timeout(SOON):
+            while not (isinstance(router, AggregatorRouter) and len(router.members) == 3):
+                await asyncio.sleep(0.002)
+
+    async def end(self) -> None:
+        await self.program.stop(0.0, 0.0)
+        for peer in (*self.backends, self.discovery, self.counter, self.directory, *self.aggregators):
+            await peer.stop()
+
+
+def test_a_gateway_tells_aggregators_all_that_its_customers_sent() -> None:
+    async def test() -> None:
+        bed = AggregatedBed()
+        await bed.begin()
+        client, served = await bed.client(), Tally[str]()
+        for number in range(40):
+            customer = f"{number % 8:016x}"
+            status, _, _ = await client.ask(request(number + 1, customer=customer))
+            served[customer] += status == 200
+        await bed.end()
+        told: Tally[str] = Tally()
+        for aggregator in bed.aggregators:
+            for name, units in aggregator.calls:
+                told[name.rpartition(".")[0]] += round(units)
+        asked = {customer for customer, many in served.items() if many}
+        assert len(asked) == 8 and asked <= set(told) and not bed.counter.calls
+        owners: dict[str, set[int]] = {}
+        for place, aggregator in enumerate(bed.aggregators):
+            for name, _ in aggregator.calls:
+                owners.setdefault(name, set()).add(place)
+        assert all(len(places) == 1 for places in owners.values())
+
+    run(test)
+
+
 def test_without_the_part_its_modules_are_not_loaded() -> None:
     code = "import sys, embersill.__main__, embersill.adapter; " \
         "sys.exit(any(m in sys.modules for m in ('embersill.net.aggregation', 'embersill.call_budget')))"
--- a/tests/test_call_budget.py
+++ b/tests/test_call_budget.py
@@ -44,18 +44,20 @@
 
     def __init__(
         self, budget: AggregationSettings | None, gateways: int = 1, width: int = FLEET, plan: Plan = SMALL,
-        answer: Answer = served,
+        answer: Answer = served, billed: float = 0.0,
     ) -> None:
+        """`billed`: times its units that a request turns out to have used, or 0 where none is told."""
         made = replace(
             SETTINGS, gateways=width, plans=(plan,), aggregation=budget, max_retry_after=0.0)
         self.now, self.number, self.order = START, 0, 0
         self.gateways = [Gateway(replace(made, me=me), me, START) for me in range(gateways)]
         for gateway in self.gateways:
             gateway.handle(backends(*(backend(f"b{n}", n % 2) for n in range(200))), START)
-        self.answer, self.plan, self.width = answer, plan, width
+        self.answer, self.plan, self.width, self.billed = answer, plan, width, billed
         self.due: list[tuple[float, int, int, Event]] = []
         self.sums: defaultdict[str, float] = defaultdict(float)  # what the counter has
         self.calls: list[tuple[float, int, Count]] = []
+        self.told_last: dict[tuple[int, str], float] = {}
         self.sent: defaultdict[str, float] = defaultdict(float)  # units sent on, by customer
         self.refused: Tally[str] = Tally()
         self.asked: dict[int, Request] = {}
@@ -82,8 +84,9 @@
             self.later(action.delay, gateway, TimerDue(action.key))
         elif isinstance(action, Send):
             asked = self.asked[action.request]
-            self.sent[asked.customer] += asked.units
-            answer = ended(action.request, 0, action.backend, Outcome.SERVED, SEND_TAKES)
+            used = self.billed * asked.units
+            self.sent[asked.customer] += used or asked.units
+            answer = ended(action.request, 0, action.backend, Outcome.SERVED, SEND_TAKES, true_units=used)
             self.later(SEND_TAKES, gateway, answer)
         elif isinstance(action, Refuse):
             self.refused[self.asked[action.request].customer] += 1
@@ -97,7 +100,10 @@
             self.sums[action.name] += action.amount
         takes = SETTINGS.counter_patience if outcome is Outcome.TIMED_OUT else CALL_TAKES
         total = self.sums[action.name] if outcome is Outcome.SERVED else 0.0
-        self.later(takes, gateway, Counted(action.name, outcome, takes, total))
+        # calls for one name are told of in the order they were made, by the counter's client and the router
+        due = max(self.now + takes, self.told_last.get((gateway, action.name), 0.0))
+        self.told_last[gateway, action.name] = due
+        self.later(due - self.now, gateway, Counted(action.name, outcome, due - self.now, total))
 
     def run_to(self, until: float) -> None:
         while self.due and self.due[0][0] <= until:
@@ -310,7 +316,9 @@
 ROOMY = Plan("small", 20.0, 4000.0, 0, 0.0, 0.0, 1.0, 0.0, 1.0)  # no sum is put right in its first seconds
 
 
-def play_steps(budget: AggregationSettings, steps: list[Step], losses: list[Outcome]) -> Play:
+def play_steps(
+    budget: AggregationSettings, steps: list[Step], losses: list[Outcome], billed: float = 0.0
+) -> Play:
     calls = 0
 
     def lossy(call: Count, now: float) -> Outcome:
@@ -318,7 +326,7 @@
         calls += 1
         return losses[calls % len(losses)]
 
-    play = Play(budget, gateways=2, width=FLEET, plan=ROOMY, answer=lossy)
+    play = Play(budget, gateways=2, width=FLEET, plan=ROOMY, answer=lossy, billed=billed)
     for what, number, seconds in steps:
         if play.now > START + 20.0:
             break
@@ -335,11 +343,12 @@
 
 
 @settings(max_examples=150, deadline=None, derandomize=True, database=None)
-@given(st.sampled_from([0.5, 3.0, 40.0]), st.sampled_from([2.0, 20.0]), STEPS, LOSSES)
+@given(st.sampled_from([0.5, 3.0, 40.0]), st.sampled_from([2.0, 20.0]), STEPS, LOSSES,
+       st.sampled_from([0.0, 0.5, 3.0]))
 def test_all_units_that_were_sent_on_are_told_once(
-    rate: float, burst: float, steps: list[Step], losses: list[Outcome]
+    rate: float, burst: float, steps: list[Step], losses: list[Outcome], billed: float
 ) -> None:
-    play = play_steps(AggregationSettings("", rate, burst), steps, losses)
+    play = play_steps(AggregationSettings("", rate, burst), steps, losses, billed)
     told = play.told()
     assert {c: round(told.get(c, 0.0), 6) for c in play.sent} == {
         c: round(units, 6) for c, units in play.sent.items()}
@@ -361,6 +370,16 @@
             assert number <= budget.calls_per_second * (time - START) + 1e-6
 
 
+@pytest.mark.parametrize("billed", [0.0, 0.5, 3.0])
+def test_untold_units_of_customers_who_never_return_are_told_without_an_end(billed: float) -> None:
+    outcomes = iter([Outcome.TURNED_AWAY, Outcome.NO_CONNECTION, Outcome.SERVED, Outcome.ERROR])
+    play = Play(BUDGET, plan=ROOMY, billed=billed, answer=lambda call, now: next(outcomes, Outcome.SERVED))
+    for number in range(60):
+        play.request(f"c{number}")
+    play.run_to(START + 30.0)
+    assert play.told() == play.sent
+
+
 def test_a_pool_change_keeps_the_bucket_and_the_end_of_the_bound_frees_calls() -> None:
     play = Play(BUDGET)
     gateway = play.gateways[0]
