--- a/tests/test_counter.py
+++ b/tests/test_counter.py
@@ -244,3 +244,20 @@
             await other.stop()
 
     run(test)
+
+
+def test_a_line_that_breaks_with_its_last_call_unsent_tells_of_it_last() -> None:
+    # the module takes the first end for a name as that of its first call for it
+    async def test() -> None:
+        async with calling() as (counter, told, peer):
+            peer.free.clear()
+            counter.add("c1.7", 1.0, 4.0)
+            while not peer.calls:
+                await asyncio.sleep(0)
+            counter.add("c1.7", 2.0, 4.0)
+            line = next(line for line in counter.lines if line is not None)
+            line.pause_writing()
+            line.end()
+            assert [(await told.next())[1] for _ in range(2)] == [Outcome.TIMED_OUT, Outcome.NO_CONNECTION]
+
+    run(test)
