--- a/tests/test_aggregation_routing.py
+++ b/tests/test_aggregation_routing.py
@@ -75,8 +75,8 @@
     def make_router(self, connections: int = 64, told: Told | None = None) -> AggregatorRouter:
         host, _, port = self.directory.address.rpartition(":")
         return AggregatorRouter(
-            asyncio.get_running_loop().time, [(host, int(port))], self.patience, 1.0, told or self.told.append,
-            connections)
+            asyncio.get_running_loop().time, [(host, int(port))], self.patience, 1.0,
+            told or self.told.append, connections)
 
     def entry(self, name: str, state: str = "SERVING") -> dict[str, Any]:
         return entry(name, self.peers[name].address, state)
