--- a/embersill/control.py
+++ b/embersill/control.py
@@ -293,7 +293,7 @@
 
     def release(self, throttle: Throttle) -> None:
         """Lets go what the credit covers, turns away what waited too long, and sets the next exact timer."""
-        if self.budget is not None and throttle.uncounted:
+        if self.budget is not None and throttle.thin and throttle.uncounted:
             self.tell_soon(throttle, 0.0)
         throttle.refill(self.now)
         while throttle.queue and not throttle.asking:
