--- /dev/null
+++ b/embersill/state_transfer.py
@@ -0,0 +1,86 @@
+"""What one process of a gateway hands to its successor, as JSON-ready data, and how that goes on with it.
+
+Nothing is decided here: `embersill/control.py` says when state is taken and restored.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from embersill.control import Gateway, Server, Throttle
+
+GATEWAY_STATE = ("born", "fleet_fails", "retry_credit", "passed", "judged", "limit", "flight", "quiet_until",
+                 "count_fails", "counted_part")
+THROTTLE_STATE = ("share", "level", "stamp", "cap", "second", "asked", "last_asked", "own", "total",
+                  "read_until", "fresh_until", "uncounted", "open")
+SERVER_STATE = ("started", "bad", "touched", "limit", "flight", "calls")
+
+
+def take_state(gateway: Gateway) -> dict[str, Any]:
+    """All that a successor must know. The customers' credit goes with it and is no longer the gateway's."""
+    return {
+        "gateway": fields_of(gateway, GATEWAY_STATE),
+        "throttles": [take_throttle(throttle, gateway.now) for throttle in gateway.throttles.values()],
+        "servers": [[address, server.backend.started, fields_of(server, SERVER_STATE)]
+                    for address, server in gateway.servers.items()],
+        "banned": sorted(gateway.banned), "known": sorted(gateway.known), "greet": gateway.greet,
+        "usual": [[*key, value] for key, value in gateway.usual.items()], "kinds": gateway.kinds,
+        "granted": [[*key, value] for key, value in gateway.granted.items()],
+    }
+
+
+def fields_of(source: Gateway | Server | Throttle, names: tuple[str, ...]) -> dict[str, Any]:
+    return {name: getattr(source, name) for name in names}
+
+
+def take_throttle(throttle: Throttle, now: float) -> list[Any]:
+    """Held requests are charged to the level already, and are taken off the ceiling's store in advance."""
+    throttle.refill(now)
+    state = fields_of(throttle, THROTTLE_STATE)
+    state["cap"] -= throttle.held
+    throttle.level, throttle.cap = min(throttle.level, 0.0), min(throttle.cap, throttle.held)
+    throttle.uncounted = 0.0
+    return [throttle.customer, throttle.plan.name, throttle.width, state]
+
+
+def restore_state(gateway: Gateway, state: Mapping[str, Any]) -> None:
+    """Takes over what `take_state` told; what the process before has out counts until it has ended."""
+    restore_fields(gateway, gateway, state["gateway"], "flight")
+    for address, listed, figures in state["servers"]:
+        server = gateway.servers.get(address)
+        if server is not None and server.backend.started == listed:
+            restore_fields(gateway, server, figures, "flight")
+    for customer, plan, width, figures in state["throttles"]:
+        if plan in gateway.plans:
+            restore_throttle(gateway, customer, plan, width, figures)
+    gateway.greet, gateway.kinds = dict(state["greet"]), dict(state["kinds"])
+    gateway.usual = {(klass, units): value for klass, units, value in state["usual"]}
+    gateway.granted.update({(name, sure): value for name, sure, value in state["granted"]})
+
+
+def restore_throttle(
+    gateway: Gateway, customer: str, plan: str, width: int, figures: Mapping[str, Any]
+) -> None:
+    made = gateway.throttles[customer] = gateway.new_throttle(customer, gateway.plans[plan], width)
+    gateway.sweep.append(customer)
+    restore_fields(gateway, made, figures, "open")
+    made.rate, made.bank = made.plan.rate * made.share, made.plan.burst * made.share
+    gateway.start_counting(made)
+
+
+def restore_fields(
+    gateway: Gateway, target: Gateway | Server | Throttle, figures: Mapping[str, Any], out: str
+) -> None:
+    """`out`: the field that counts what the process before still has out."""
+    for name, value in figures.items():
+        setattr(target, name, value)
+    gateway.before.append((target, out, figures[out]))
+
+
+def end_predecessor(gateway: Gateway) -> None:
+    """The process before has ended: nothing of it is out any more."""
+    for target, name, number in gateway.before:
+        setattr(target, name, getattr(target, name) - number)
+    gateway.before = []
