--- a/embersill/control.py
+++ b/embersill/control.py
@@ -206,6 +206,7 @@
         self.handed = False  # a successor has all that is not under way: requests that still come are its
         self.before: list[tuple[Any, str, int]] = []  # what the process before has out, by where it counts
         self.drawn: Server | None = None  # the restored backend that gets its first request
+        self.sizes: dict[str, float] = {}  # mean rating of a kind of machine against that of all that serve
         self.kinds: dict[str, float] = {}  # answer time of a kind of machine against the fleet's
         self.jobs: dict[int, Job] = {}
         self.throttles: dict[str, Throttle] = {}
@@ -580,8 +581,12 @@
             places = min(places, self.cold_places(share))
         elif share < 1.0:
             share = 1.0  # what is out from here shows its load
+        share *= self.size(server)
         return share * self.settings.gateways / places if server.place < places else 0.0
 
+    def size(self, server: Server) -> float:
+        return self.sizes.get(server.backend.kind, 1.0)
+
     def has_few_places(self, share: float) -> bool:
         return share < 1.0 and COLD_LIMIT * share < self.settings.gateways
 
@@ -604,7 +609,7 @@
         server.fade(self.now)
         again = sum(1 for a in job.attempts if a.server is server)
         again += server.full.get((job.klass.name, job.throttle.plan.name), 0.0) > self.now
-        slow = self.kinds.get(server.backend.kind, 1.0) * (server.flight + 1.0)
+        slow = self.kinds.get(server.backend.kind, 1.0) * (server.flight + 1.0) / self.size(server)
         share = server.cold_share(self.now, self.settings)
         if not self.has_few_places(share):  # there the draw goes by what it can bear
             slow /= max(share, EPS)
@@ -1004,6 +1009,7 @@
     def put_in_order(self) -> None:
         self.order = [s for a, s in self.servers.items()
                       if s.backend.status is Status.SERVING and a not in self.banned]
+        self.sizes = sizes_of([s.backend for s in self.order])
         self.weigh_at = self.now
 
     def ban(self, event: Suspend | Restore) -> None:
@@ -1061,6 +1067,17 @@
     return limit + OUT_MORE if out + 1 > limit / 2 else limit
 
 
+def sizes_of(backends: list[Backend]) -> dict[str, float]:
+    """The mean rating of each kind against that of all; a single backend's may be rough, or of a moment."""
+    ratings: dict[str, list[float]] = {}
+    for backend in backends:
+        ratings.setdefault(backend.kind, []).append(max(backend.rating, 0.0))
+    mean = sum(map(sum, ratings.values())) / max(len(backends), 1)
+    if mean <= 0 or len(ratings) < 2:
+        return {}
+    return {kind: sum(rated) / len(rated) / mean or 1.0 for kind, rated in ratings.items()}
+
+
 def place_at(address: str, settings: Settings) -> int:
     """This gateway's place among all at a backend: another at each, and known without a word.
 
