--- /dev/null
+++ b/embersill/lab/scale/children.py
@@ -0,0 +1,176 @@
+"""The processes of a play: started together, watched, and gone once the play is over, however it ends.
+
+A child is killed by the kernel where this process dies before it. One that ends by itself fails the play.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import ctypes
+import os
+import pathlib
+import re
+import signal
+import sys
+from collections.abc import Coroutine, Mapping, Sequence
+from types import TracebackType
+from typing import Any, Self, TypeVar
+
+from embersill.lab.scale.clock import Usage, read_usage
+from embersill.lab.scale.lines import MOST_LINE
+from embersill.lab.scale.messages import Answer, Message, decode_answer, encode_line
+from embersill.lab.versions import HERE
+
+SET_PARENT_DEATH_SIGNAL = 1  # PR_SET_PDEATHSIG of prctl(2)
+LOG_POLL_SECONDS = 0.02
+MOST_CHILDREN = 300
+LIBC = ctypes.CDLL(None, use_errno=True)
+AnswerType = TypeVar("AnswerType", bound=Message)
+Result = TypeVar("Result")
+
+
+class ChildFailed(Exception):
+    """A process of the play that ended, or does not answer, in one line."""
+
+
+class ChildNotStarted(ChildFailed):
+    """A process that never got ready."""
+
+
+def die_with_parent() -> None:
+    """Run in a child before it becomes its program."""
+    LIBC.prctl(SET_PARENT_DEATH_SIGNAL, signal.SIGKILL)
+
+
+class Child:
+    """One process, with its log and, where it speaks in messages, its streams."""
+
+    def __init__(self, name: str, process: asyncio.subprocess.Process, log: pathlib.Path) -> None:
+        self.name, self.process, self.log = name, process, log
+
+    @property
+    def pid(self) -> int:
+        return self.process.pid
+
+    def send(self, order: Message) -> None:
+        assert self.process.stdin is not None
+        self.process.stdin.write(encode_line(order) + b"\n")
+
+    async def receive(self, kind: type[AnswerType], within: float) -> AnswerType:
+        """The next answer, which must be of this kind. ChildFailed."""
+        assert self.process.stdout is not None
+        try:
+            async with asyncio.timeout(within):
+                line = await self.process.stdout.readline()
+        except TimeoutError:
+            raise ChildFailed(
+                f"{self.name} gave no answer within {within:.0f} s{self.last_words()}") from None
+        if not line.endswith(b"\n"):
+            raise ChildFailed(f"{self.name} ended{self.last_words()}")
+        answer: Answer = decode_answer(line)
+        if not isinstance(answer, kind):
+            raise ChildFailed(f"{self.name} answered {type(answer).__name__} in place of {kind.__name__}")
+        return answer
+
+    async def ask(self, order: Message, kind: type[AnswerType], within: float) -> AnswerType:
+        self.send(order)
+        return await self.receive(kind, within)
+
+    async def logged(self, form: str, within: float) -> re.Match[str]:
+        """Waits until its log says this. ChildNotStarted."""
+        try:
+            async with asyncio.timeout(within):
+                while (found := re.search(form, self.log.read_text(errors="replace"))) is None:
+                    if self.process.returncode is not None:
+                        raise ChildNotStarted(f"{self.name} did not start{self.last_words()}")
+                    await asyncio.sleep(LOG_POLL_SECONDS)
+        except TimeoutError:
+            raise ChildNotStarted(
+                f"{self.name} did not start within {within:.0f} s{self.last_words()}") from None
+        return found
+
+    def last_words(self) -> str:
+        """The last line of its log, to end a sentence with."""
+        lines = self.log.read_text(errors="replace").split("\n")
+        said = [line.strip() for line in lines if line.strip()]
+        return f": {said[-1][:200]}" if said else ""
+
+    def usage(self) -> Usage:
+        try:
+            return read_usage(self.pid)
+        except (OSError, ValueError, IndexError):
+            raise ChildFailed(f"{self.name} is gone{self.last_words()}") from None
+
+
+class Children:
+    """All processes of one play; leaving the context ends them."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.folder = folder
+        self.all: list[Child] = []
+        self.watchers: list[asyncio.Task[None]] = []
+        self.ended: asyncio.Future[Child] = asyncio.get_running_loop().create_future()
+        self.closing = False
+
+    async def __aenter__(self) -> Self:
+        return self
+
+    async def __aexit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        self.closing = True
+        for child in self.all:
+            if child.process.returncode is None:
+                child.process.kill()
+        await asyncio.gather(*self.watchers)
+
+    async def start(
+        self, name: str, arguments: Sequence[str], environment: Mapping[str, str] | None = None,
+    ) -> Child:
+        """Starts a process in a session of its own, so that Ctrl-C reaches the command alone."""
+        if len(self.all) >= MOST_CHILDREN:
+            raise ChildNotStarted(f"a play has at most {MOST_CHILDREN} processes")
+        log = self.folder / f"{name}.log"
+        with log.open("wb") as errors:
+            process = await asyncio.create_subprocess_exec(
+                *arguments, cwd=HERE, stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE,
+                stderr=errors, limit=MOST_LINE, start_new_session=True, preexec_fn=die_with_parent,
+                env={**inherited_environment(), **(environment or {})})
+        child = Child(name, process, log)
+        self.all.append(child)
+        self.watchers.append(asyncio.create_task(self.watch(child)))
+        return child
+
+    async def start_module(self, name: str, module: str, *arguments: str) -> Child:
+        return await self.start(name, [sys.executable, "-m", module, *arguments])
+
+    async def watch(self, child: Child) -> None:
+        await child.process.wait()
+        if not (self.closing or self.ended.done()):
+            self.ended.set_result(child)
+
+    async def unless_one_ends(self, work: Coroutine[Any, Any, Result], within: float) -> Result:
+        """Ends the work where a process ends first, or its time is over. ChildFailed."""
+        working = asyncio.create_task(work)
+        try:
+            awaited: set[asyncio.Future[Any]] = {working, self.ended}
+            await asyncio.wait(awaited, timeout=within, return_when=asyncio.FIRST_COMPLETED)
+            if working.done():
+                return await working
+            if self.ended.done():
+                child = self.ended.result()
+                code = child.process.returncode
+                raise ChildFailed(f"{child.name} ended with {code}{child.last_words()}")
+            raise ChildFailed(f"the play did not end within {within:.0f} s")
+        finally:
+            working.cancel()
+            await asyncio.wait({working})
+
+    def memory_bytes(self) -> int:
+        """Resident bytes of all processes that still run."""
+        return sum(child.usage().memory_bytes for child in self.all if child.process.returncode is None)
+
+
+def inherited_environment() -> dict[str, str]:
+    """The command's, without what would tell a gateway where to listen."""
+    return {name: value for name, value in os.environ.items() if not name.startswith("RELAY_")}
--- /dev/null
+++ b/embersill/lab/scale/list_service.py
@@ -0,0 +1,105 @@
+"""The list service of a play: its folder filled beforehand, its processes, and the writes to it."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import time
+from dataclasses import dataclass
+
+import aiohttp
+import msgspec
+
+from embersill.directory.form import Entry, Record
+from embersill.directory.logfile import Log
+from embersill.lab.peers import HOST
+from embersill.lab.scale.children import Child, Children
+from embersill.lab.scale.deployment import ZONE, backend_name
+
+LEASE_MS = 600_000  # longer than a play: no backend renews
+MACHINE = "standard-3core"
+STARTED_MS = 1  # long ago: backends are warm
+FIRST_GENERATION = 1
+SPARE_WATCHES = 100
+STAFF = "scale"
+
+
+class ListServiceFailed(Exception):
+    """A call of the list service that went wrong, in one line."""
+
+
+@dataclass(frozen=True, slots=True)
+class Write:
+    """A write to the list: the generation that it made, and when it was answered, by the monotonic clock."""
+
+    generation: int
+    answered_at: float
+
+
+class ServiceFigures(msgspec.Struct, frozen=True):
+    """The part of the service's status that is used here."""
+
+    generation: int
+    watchers: int
+    figures: dict[str, int]
+
+
+def fill_folder(folder: pathlib.Path, backends: int, host_port: str) -> None:
+    """Writes a list of so many backends as the service itself keeps it."""
+    log = Log(folder)
+    records = []
+    for number in range(backends):
+        entry = Entry(host_port, ZONE, MACHINE, 0, "SERVING", 1.0, STARTED_MS, f"p{number}", LEASE_MS)
+        records.append(Record(FIRST_GENERATION + number, backend_name(number), entry, None))
+    log.append(records)
+    log.store.apply(records)
+    log.close()
+
+
+async def start_service(
+    children: Children, folder: pathlib.Path, port: int, watches: int, leader: str = ""
+) -> Child:
+    """A leader, or a follower of the one at that address."""
+    role = "follower" if leader else "leader"
+    follow = ["--follow", leader] if leader else []
+    return await children.start_module(
+        f"directory-{role}", "embersill.directory", "--listen", f"{HOST}:{port}", "--data", str(folder),
+        "--fill", "0", "--watchers", str(watches + SPARE_WATCHES), *follow)
+
+
+class ListWriter:
+    """Writes to the list: backends are drained by staff and given back, one after the other."""
+
+    def __init__(self, session: aiohttp.ClientSession, address: str, backends: int) -> None:
+        self.session, self.address, self.backends = session, address, backends
+        self.versions = [FIRST_GENERATION + number for number in range(backends)]
+        self.turn = 0
+        self.writes: list[Write] = []
+
+    async def write_once(self) -> None:
+        """Drains a backend, or gives back the one that was drained by the write before."""
+        number = self.turn // 2 % self.backends
+        drains = self.turn % 2 == 0
+        self.turn += 1
+        body = {"by": STAFF, "reason": "scale"} if drains else None
+        url = f"http://{self.address}/v1/instances/{backend_name(number)}/drain"
+        headers = {"If-Match": f'"{self.versions[number]}"'}
+        method = "PUT" if drains else "DELETE"
+        async with self.session.request(method, url, json=body, headers=headers) as answer:
+            shown = await answer.json()
+            if answer.status != 200:
+                raise ListServiceFailed(f"a write to the list got {answer.status}: {shown}")
+            self.versions[number] = int(shown["version"])
+            self.writes.append(Write(self.versions[number], time.monotonic()))
+
+    async def write_for(self, seconds: float, per_second: float) -> None:
+        """Evenly spaced writes, the first after half a space."""
+        began = time.monotonic()
+        for number in range(round(seconds * per_second)):
+            due = began + (number + 0.5) / per_second
+            await asyncio.sleep(max(due - time.monotonic(), 0.0))
+            await self.write_once()
+
+    async def status(self, address: str) -> ServiceFigures:
+        async with self.session.get(f"http://{address}/v1/status") as answer:
+            return msgspec.json.decode(await answer.read(), type=ServiceFigures)
--- /dev/null
+++ b/embersill/lab/scale/metering.py
@@ -0,0 +1,84 @@
+"""Counts the bytes of a client's connections without changing the client.
+
+The clients open connections by their `loop`'s `create_connection`. A MeteredLoop stands in its place: it puts
+a protocol between the socket and the client's own that counts and passes on.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, cast
+
+
+@dataclass(slots=True)
+class ByteMeter:
+    """Bytes written to and read from connections."""
+
+    bytes_out: int = 0
+    bytes_in: int = 0
+
+
+class MeteredTransport:
+    """A transport whose writes are counted; all else is the transport's own."""
+
+    def __init__(self, transport: asyncio.Transport, meter: ByteMeter) -> None:
+        self.transport, self.meter = transport, meter
+
+    def write(self, data: bytes) -> None:
+        self.meter.bytes_out += len(data)
+        self.transport.write(data)
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.transport, name)
+
+
+class MeteredProtocol(asyncio.Protocol):
+    """Counts what is read and passes every event on to the client's protocol."""
+
+    def __init__(self, client: asyncio.Protocol, meter: ByteMeter) -> None:
+        self.client, self.meter = client, meter
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        metered = MeteredTransport(cast(asyncio.Transport, transport), self.meter)
+        self.client.connection_made(cast(asyncio.Transport, metered))
+
+    def data_received(self, data: bytes) -> None:
+        self.meter.bytes_in += len(data)
+        self.client.data_received(data)
+
+    def eof_received(self) -> bool | None:
+        return self.client.eof_received()
+
+    def pause_writing(self) -> None:
+        self.client.pause_writing()
+
+    def resume_writing(self) -> None:
+        self.client.resume_writing()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.client.connection_lost(exc)
+
+
+class MeteredLoop:
+    """An event loop whose outgoing connections are counted; all else is the loop's own."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, meter: ByteMeter) -> None:
+        self.loop, self.meter = loop, meter
+
+    async def create_connection(
+        self, make: Callable[[], asyncio.Protocol], host: str, port: int
+    ) -> tuple[asyncio.BaseTransport, asyncio.Protocol]:
+        client = make()
+        transport, _ = await self.loop.create_connection(
+            lambda: MeteredProtocol(client, self.meter), host, port)
+        return transport, client
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.loop, name)
+
+
+def metered_loop(meter: ByteMeter) -> asyncio.AbstractEventLoop:
+    """The running loop, with the connections opened by it counted."""
+    return cast(asyncio.AbstractEventLoop, MeteredLoop(asyncio.get_running_loop(), meter))
--- /dev/null
+++ b/embersill/lab/scale/play.py
@@ -0,0 +1,468 @@
+"""One play of one point: starts all roles, measures them, and gives a Play record."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import random
+import statistics
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+import aiohttp
+from hdrh.histogram import HdrHistogram
+
+from embersill.lab.peers import HOST, free_port
+from embersill.lab.scale.aggregators import start_aggregators
+from embersill.lab.scale.children import Child, ChildFailed, Children, ChildNotStarted
+from embersill.lab.scale.clock import Usage, machine_memory
+from embersill.lab.scale.deployment import Deployment
+from embersill.lab.scale.list_service import ListWriter, ServiceFigures, Write, fill_folder, start_service
+from embersill.lab.scale.messages import (
+    BeginLoad, BeginMeasuring, ClientsReport, ClientsTask, Collect, CounterFigures, Done, EndMeasuring,
+    GatewayCounts, GatewaysReady, ListAnswers, Listening, Message, ReadFigures, Restart,
+    WorkerReport, WorkerTask, total,
+)
+from embersill.lab.scale.quota_account import settle
+from embersill.lab.scale.real_gateways import choose_ports, start_gateway, wait_ready
+from embersill.lab.scale.records import FleetSize, Play
+
+STARTS_PER_SECOND = 400.0  # gateways of the whole fleet: the list service answers them as they come
+PEER_START_SECONDS = 15.0
+ANSWER_SECONDS = 10.0
+NEWS_SECONDS = 1.0  # after the measured time, for the last news to arrive
+RESTART_AT = 0.25  # of the measured time, at which gateways restart
+RESTART_PATIENCE_SECONDS = 20.0  # more for the play, in which restarted gateways get their lists
+MEMORY_PART = 0.5  # of the machine's, that a play may use
+MEMORY_POLL_SECONDS = 0.5
+MICROSECONDS = 1e6
+HIGHEST_ADDED_US = 60_000_000
+
+
+class TooMuchMemory(ChildFailed):
+    """The play's processes use more than their part of the machine's memory."""
+
+
+@dataclass(frozen=True, slots=True)
+class PlayPlan:
+    """A play that is to be made."""
+
+    axis: str
+    value: float
+    number: int
+    seed: int
+    size: FleetSize
+    seconds: float
+    warm_up_seconds: float
+    workers: int
+    real_gateways: int
+
+    def limit_seconds(self) -> float:
+        """After which the play is broken off."""
+        starting = 3 * PEER_START_SECONDS + 3 * self.size.gateways / STARTS_PER_SECOND
+        return starting + self.warm_up_seconds + self.seconds + NEWS_SECONDS + RESTART_PATIENCE_SECONDS
+
+
+@dataclass(frozen=True, slots=True)
+class PlayResult:
+    """The record of a play, and the figures of each gateway that it was made from."""
+
+    play: Play
+    hollow: list[GatewayCounts]
+    real: list[GatewayCounts]
+
+
+@dataclass(slots=True)
+class Roles:
+    """The processes of a play by role."""
+
+    workers: list[Child] = field(default_factory=list)
+    leader: Child | None = None
+    follower: Child | None = None
+    counter: Child | None = None
+    clients: Child | None = None
+    gateways: list[Child] = field(default_factory=list)
+
+    def speaking(self) -> list[Child]:
+        """Those that take orders during the play."""
+        return [*self.workers, *([self.clients] if self.clients else [])]
+
+
+@dataclass(frozen=True, slots=True)
+class Snapshot:
+    """The figures of the peers at one moment."""
+
+    at: float
+    leader: Usage
+    follower: Usage
+    counter: Usage
+    leader_figures: ServiceFigures
+    follower_figures: ServiceFigures
+    counter_figures: CounterFigures
+
+
+class PlayRun:
+    """One play from its start to its record."""
+
+    def __init__(
+        self, plan: PlayPlan, folder: pathlib.Path, children: Children, session: aiohttp.ClientSession
+    ) -> None:
+        self.plan, self.size, self.folder, self.children = plan, plan.size, folder, children
+        self.deployment = Deployment(plan.size, plan.seed)
+        self.dice = random.Random(f"{plan.seed} play")
+        self.roles = Roles()
+        self.hollow_gateways = list(range(plan.real_gateways, plan.size.gateways))
+        self.leader_address = f"{HOST}:{free_port()}"
+        self.follower_address = f"{HOST}:{free_port()}"
+        self.counter_address = f"{HOST}:{free_port()}"
+        self.backend_port = free_port()
+        self.ports = [choose_ports(number, 2) for number in range(plan.real_gateways)]
+        self.writer = ListWriter(session, self.leader_address, plan.size.backends)
+        self.ready: list[GatewaysReady] = []
+        self.restarted_at = 0.0
+
+    async def run(self) -> PlayResult:
+        await self.start_peers()
+        await self.start_fleet()
+        await self.order_all(BeginLoad())
+        await asyncio.sleep(self.plan.warm_up_seconds)
+        before = await self.snapshot()
+        await self.order_all(BeginMeasuring())
+        began = time.monotonic()
+        await self.measured_time()
+        after = await self.snapshot()
+        await self.order_all(EndMeasuring())
+        await self.wait_for_news()
+        return await self.collect(before, after, began)
+
+    # start
+
+    async def start_peers(self) -> None:
+        size = self.size
+        fill_folder(self.folder / "list", size.backends, f"{HOST}:{self.backend_port}")
+        roles, children = self.roles, self.children
+        roles.counter = await children.start_module(
+            "counter", "embersill.lab.scale.counter_process", self.counter_address.rpartition(":")[2],
+            str(size.counter_parts), str(size.counter_calls_per_second))
+        ports = [int(a.rpartition(":")[2]) for a in (self.leader_address, self.follower_address)]
+        roles.leader = await start_service(children, self.folder / "list", ports[0], size.gateways)
+        await roles.leader.logged("listening on", PEER_START_SECONDS)
+        roles.follower = await start_service(
+            children, self.folder / "copy", ports[1], size.gateways, self.leader_address)
+        await self.receive_started(roles.counter)
+        await roles.follower.logged("listening on", PEER_START_SECONDS)
+        await self.follower_copied()
+
+    async def receive_started(self, child: Child) -> None:
+        try:
+            await child.receive(Listening, PEER_START_SECONDS)
+        except ChildFailed as error:
+            raise ChildNotStarted(f"{child.name} did not start: {error}") from None
+
+    async def follower_copied(self) -> None:
+        """Waits until the follower has the leader's list."""
+        generation = (await self.writer.status(self.leader_address)).generation
+        while (await self.writer.status(self.follower_address)).generation < generation:
+            await asyncio.sleep(MEMORY_POLL_SECONDS / 10)
+
+    async def start_fleet(self) -> None:
+        """Hollow gateways at a bounded pace, as each asks for the whole list; real ones meanwhile."""
+        counters = await start_aggregators(self.children, self.size.aggregators, self.counter_address)
+        workers = min(self.plan.workers, len(self.hollow_gateways))
+        for place in range(workers):
+            child = await self.children.start_module(f"worker-{place}", "embersill.lab.scale.worker")
+            mine = self.hollow_gateways[place::workers]
+            child.send(WorkerTask(
+                self.size, self.plan.seed, mine, [self.leader_address, self.follower_address],
+                [counters[number % len(counters)] for number in mine], STARTS_PER_SECOND / workers))
+            self.roles.workers.append(child)
+        if self.ports:
+            await self.start_real_gateways(counters[0])
+        within = PEER_START_SECONDS + 3 * self.size.gateways / STARTS_PER_SECOND
+        for worker in self.roles.workers:
+            try:
+                self.ready.append(await worker.receive(GatewaysReady, within))
+            except ChildFailed as error:
+                raise ChildNotStarted(f"{worker.name} did not get ready: {error}") from None
+
+    async def start_real_gateways(self, counter: str) -> None:
+        directories = [self.leader_address, self.follower_address]
+        clients = await self.children.start_module("clients", "embersill.lab.scale.clients_process")
+        clients.send(ClientsTask(
+            self.size, self.plan.seed, self.backend_port, directories, counter, self.ports))
+        self.roles.clients = clients
+        await self.receive_started(clients)
+        for ports in self.ports:
+            self.roles.gateways.append(await start_gateway(
+                self.children, self.folder, self.deployment, ports, self.dice.getrandbits(62)))
+        for child, ports in zip(self.roles.gateways, self.ports, strict=True):
+            await wait_ready(child, ports, PEER_START_SECONDS)
+
+    # the measured time
+
+    async def order_all(self, order: Message) -> None:
+        """Gives an order to all at once, and waits until each has carried it out."""
+        speaking = self.roles.speaking()
+        for child in speaking:
+            child.send(order)
+        for child in speaking:
+            await child.receive(Done, ANSWER_SECONDS)
+
+    async def measured_time(self) -> None:
+        plan = self.plan
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self.writer.write_for(plan.seconds, self.size.changes_per_second))
+            tasks.create_task(asyncio.sleep(plan.seconds))
+            if self.size.restarted_share > 0:
+                tasks.create_task(self.restart())
+
+    async def restart(self) -> None:
+        """Restarts a part of the hollow gateways, drawn anew for each play."""
+        await asyncio.sleep(RESTART_AT * self.plan.seconds)
+        many = max(1, round(self.size.restarted_share * len(self.hollow_gateways)))
+        drawn = self.dice.sample(self.hollow_gateways, many)
+        self.restarted_at = time.monotonic()
+        for worker in self.roles.workers:
+            worker.send(Restart(drawn))
+        for worker in self.roles.workers:
+            await worker.receive(Done, ANSWER_SECONDS)
+
+    async def wait_for_news(self) -> None:
+        """Until all gateways watch again, at the most for as long as a restart may take."""
+        patience = RESTART_PATIENCE_SECONDS if self.size.restarted_share > 0 else NEWS_SECONDS
+        until = time.monotonic() + patience
+        await asyncio.sleep(NEWS_SECONDS)
+        while time.monotonic() < until:
+            if (await self.writer.status(self.leader_address)).watchers >= self.size.gateways:
+                return
+            await asyncio.sleep(MEMORY_POLL_SECONDS)
+
+    async def snapshot(self) -> Snapshot:
+        leader, follower, counter = self.roles.leader, self.roles.follower, self.roles.counter
+        assert leader is not None and follower is not None and counter is not None
+        counted = await counter.ask(ReadFigures(), CounterFigures, ANSWER_SECONDS)
+        return Snapshot(
+            time.monotonic(), leader.usage(), follower.usage(), counter.usage(),
+            await self.writer.status(self.leader_address), await self.writer.status(self.follower_address),
+            counted)
+
+    # the record
+
+    async def collect(self, before: Snapshot, after: Snapshot, began: float) -> PlayResult:
+        writes = [write for write in self.writer.writes if write.answered_at >= began]
+        order = Collect([write.generation for write in writes])
+        reports = [await w.ask(order, WorkerReport, ANSWER_SECONDS) for w in self.roles.workers]
+        clients = None
+        if self.roles.clients is not None:
+            clients = await self.roles.clients.ask(order, ClientsReport, ANSWER_SECONDS)
+        figures = PlayFigures(
+            self.plan, self.deployment, self.ready, reports, clients, before, after, began, writes,
+            self.restarted_at)
+        plan = self.plan
+        play = Play(
+            plan.axis, plan.value, plan.number, plan.seed, plan.size, plan.seconds, figures.counts(),
+            figures.times())
+        return PlayResult(play, figures.hollow, clients.counts if clients else [])
+
+
+@dataclass(slots=True)
+class PlayFigures:
+    """Turns what the processes report into the record's measures."""
+
+    plan: PlayPlan
+    deployment: Deployment
+    ready: list[GatewaysReady]
+    reports: list[WorkerReport]
+    clients: ClientsReport | None
+    before: Snapshot
+    after: Snapshot
+    began: float
+    writes: Sequence[Write]
+    restarted_at: float
+
+    @property
+    def hollow(self) -> list[GatewayCounts]:
+        return [counts for report in self.reports for counts in report.counts]
+
+    @property
+    def seconds(self) -> float:
+        return self.after.at - self.before.at
+
+    def per_gateway(self, name: str) -> float:
+        """Mean over hollow gateways, a second."""
+        return total(self.hollow, name) / len(self.hollow) / self.plan.seconds
+
+    def served_bytes(self, before: ServiceFigures, after: ServiceFigures) -> float:
+        told = after.figures.get("bytes told", 0) - before.figures.get("bytes told", 0)
+        return told / self.seconds
+
+    def answers(self, kind: str) -> ListAnswers:
+        """Answers of the list service over all workers."""
+        found: list[ListAnswers] = [getattr(report, kind) for report in self.reports]
+        return ListAnswers(
+            sum(a.number for a in found), sum(a.bytes for a in found), sum(a.seconds for a in found))
+
+    def customers(self) -> int:
+        return sum(sum(report.customers) for report in self.reports)
+
+    def counts(self) -> dict[str, float]:
+        before, after = self.before, self.after
+        calls = after.counter_figures.calls - before.counter_figures.calls
+        starts = sum(report.starts for report in self.reports)
+        found = {
+            "counter_calls_per_gateway": self.per_gateway("counter_calls"),
+            "counter_bytes_out_per_gateway": self.per_gateway("counter_bytes_out"),
+            "counter_bytes_in_per_gateway": self.per_gateway("counter_bytes_in"),
+            "counter_calls_fleet": calls / self.seconds,
+            "counter_names_active": float(after.counter_figures.names),
+            "list_calls_per_gateway": self.per_gateway("list_calls"),
+            "list_bytes_out_per_gateway": self.per_gateway("list_bytes_out"),
+            "list_bytes_in_per_gateway": self.per_gateway("list_bytes_in"),
+            "list_bytes_out_leader": self.served_bytes(before.leader_figures, after.leader_figures),
+            "list_bytes_out_follower": self.served_bytes(before.follower_figures, after.follower_figures),
+            "customers_per_gateway": self.customers() / len(self.hollow),
+            "whole_lists_per_start": self.answers("whole_lists").number / starts,
+        }
+        found |= self.answer_bytes() | self.quota_shares()
+        if self.restarted_at:
+            found |= self.restart_counts()
+        return found
+
+    def answer_bytes(self) -> dict[str, float]:
+        found = {}
+        for kind, name in (("whole_lists", "whole_list_bytes"), ("changes", "change_bytes")):
+            answers = self.answers(kind)
+            if answers.number:
+                found[name] = answers.bytes / answers.number
+        return found
+
+    def quota_shares(self) -> dict[str, float]:
+        """Refusals and quotas over the whole fleet, real gateways included."""
+        logs = [report.events for report in self.reports]
+        if self.clients is not None:
+            logs.append(self.clients.events)
+        outcome = settle(self.deployment, logs, self.began, self.began + self.plan.seconds)
+        if not outcome.requests:
+            return {}
+        return {
+            "refused_share": outcome.refused / outcome.requests,
+            "refused_with_room_share": outcome.refused_with_room / outcome.requests,
+            "beyond_quota_share": outcome.beyond_quota / outcome.requests,
+        }
+
+    def restart_counts(self) -> dict[str, float]:
+        restarts = [report.restart for report in self.reports]
+        told = sum(r.gateways - r.untold for r in restarts)
+        found = {"restart_list_calls_fleet": float(sum(r.list_calls for r in restarts))}
+        if told:
+            found["restart_bytes_per_gateway"] = sum(r.list_bytes_in for r in restarts) / told
+        return found
+
+    def times(self) -> dict[str, float]:
+        hollow_seconds = len(self.hollow) * self.plan.seconds
+        module = sum(report.module_seconds for report in self.reports)
+        process = sum(report.process_seconds for report in self.reports)
+        requests = total(self.hollow, "requests")
+        found = {
+            "module_cpu_share": module / hollow_seconds,
+            "control_cpu_share": (process - module) / hollow_seconds,
+            **self.peer_times(), **self.answer_times(), **self.memory(), **self.news(), **self.added(),
+        }
+        if requests:
+            found["module_us_per_request"] = MICROSECONDS * module / requests
+        if self.restarted_at and not any(report.restart.untold for report in self.reports):
+            last = max(report.restart.last_told_at for report in self.reports)
+            found["restart_all_told_s"] = last - self.restarted_at
+        return found
+
+    def peer_times(self) -> dict[str, float]:
+        pairs = {
+            "directory_leader": (self.before.leader, self.after.leader),
+            "directory_follower": (self.before.follower, self.after.follower),
+            "counter": (self.before.counter, self.after.counter),
+        }
+        found = {}
+        for name, (before, after) in pairs.items():
+            found[f"{name}_cpu_share"] = (after.cpu_seconds - before.cpu_seconds) / self.seconds
+            found[f"{name}_memory_mb"] = after.memory_bytes / 2**20
+        return found
+
+    def answer_times(self) -> dict[str, float]:
+        found = {}
+        for kind, name in (("whole_lists", "whole_list_ms"), ("changes", "change_ms")):
+            answers = self.answers(kind)
+            if answers.number:
+                found[name] = 1000.0 * answers.seconds / answers.number
+        return found
+
+    def memory(self) -> dict[str, float]:
+        """Growth of the processes that host hollow gateways, shared evenly by what they host."""
+        gateways = len(self.hollow)
+        loaded = sum(report.memory_loaded for report in self.reports)
+        before = sum(ready.memory_before for ready in self.ready)
+        created = sum(ready.memory_created for ready in self.ready)
+        listed = sum(ready.memory_listed for ready in self.ready)
+        found = {
+            "gateway_memory_mb": (loaded - before) / gateways / 2**20,
+            "memory_per_backend_bytes": (listed - created) / gateways / self.plan.size.backends,
+        }
+        if self.customers() and not self.restarted_at:
+            found["memory_per_customer_bytes"] = (loaded - listed) / self.customers()
+        return found
+
+    def news(self) -> dict[str, float]:
+        """From a write's answer to the last hollow gateway told of it, for the writes that all were told of."""
+        took = []
+        for place, write in enumerate(self.writes):
+            told = [report.news[place] for report in self.reports]
+            heard = [at for at in told if at is not None]
+            if len(heard) == len(told):
+                took.append(1000.0 * max(max(heard) - write.answered_at, 0.0))
+        if not took:
+            return {}
+        return {"news_last_ms": statistics.median(took), "news_longest_ms": max(took)}
+
+    def added(self) -> dict[str, float]:
+        if self.clients is None or not self.clients.added_ms:
+            return {}
+        histogram = HdrHistogram(1, HIGHEST_ADDED_US, 3)
+        for ms in self.clients.added_ms:
+            histogram.record_value(max(1, round(1000.0 * ms)))
+        return {
+            f"added_p{percent}_ms": histogram.get_value_at_percentile(percent) / 1000.0
+            for percent in (50, 99)}
+
+
+async def watch_memory(children: Children) -> None:
+    """Ends with TooMuchMemory once the play's processes use more than their part."""
+    most = MEMORY_PART * machine_memory()
+    while True:
+        try:
+            used = children.memory_bytes()
+        except ChildFailed:
+            used = 0  # its end is told by another
+        if used > most:
+            raise TooMuchMemory(f"the play uses {used / 2**30:.1f} GB, over half of the machine's memory")
+        await asyncio.sleep(MEMORY_POLL_SECONDS)
+
+
+async def run_play(plan: PlayPlan, folder: pathlib.Path) -> PlayResult:
+    """ChildFailed, or its kinds, where a process does not start, ends or does not answer."""
+    timeout = aiohttp.ClientTimeout(total=ANSWER_SECONDS)
+    async with Children(folder) as children, aiohttp.ClientSession(timeout=timeout) as session:
+        run = PlayRun(plan, folder, children, session)
+        return await children.unless_one_ends(within_memory(run, children), plan.limit_seconds())
+
+
+async def within_memory(run: PlayRun, children: Children) -> PlayResult:
+    playing, watching = asyncio.create_task(run.run()), asyncio.create_task(watch_memory(children))
+    try:
+        await asyncio.wait({playing, watching}, return_when=asyncio.FIRST_COMPLETED)
+        if watching.done() and not playing.done():
+            await watching
+        return await playing
+    finally:
+        for task in (playing, watching):
+            task.cancel()
+        await asyncio.wait({playing, watching})
--- /dev/null
+++ b/embersill/lab/scale/real_gateways.py
@@ -0,0 +1,74 @@
+"""Real gateways beside the hollow ones: processes started by the deploy file's `run`."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import pathlib
+
+from embersill.lab.peers import HOST, free_port, read_message
+from embersill.lab.scale.children import Child, Children, ChildNotStarted
+from embersill.lab.scale.deployment import Deployment
+from embersill.lab.scale.messages import RealGatewayPorts
+from embersill.lab.versions import HERE, deployed
+
+READY_POLL_SECONDS = 0.05
+MEMORY_MB, SOCKETS = 192, 1024  # as on the platform
+READY = b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"
+RUN_VARIABLE = "EMBERSILL_RUN"  # environment: a command in place of the deploy file's run
+
+
+def choose_ports(number: int, directories: int) -> RealGatewayPorts:
+    return RealGatewayPorts(number, free_port(), [free_port() for _ in range(directories)], free_port())
+
+
+def configuration(deployment: Deployment, ports: RealGatewayPorts, seed: int) -> dict[str, object]:
+    """A gateway that starts with no list, as hollow ones do."""
+    return {
+        "name": f"n{ports.number}", "listen": f"{HOST}:{ports.gateway}",
+        "discovery": [f"{HOST}:{port}" for port in ports.discovery_relays],
+        "counter": f"{HOST}:{ports.counter_relay}", "seed": f"{seed:016x}",
+        "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS},
+        "known": {"generation": 0, "reset": True, "instances": []},
+        "settings": deployment.told_settings(ports.number),
+    }
+
+
+async def start_gateway(
+    children: Children, folder: pathlib.Path, deployment: Deployment, ports: RealGatewayPorts, seed: int
+) -> Child:
+    home = folder / f"gateway-{ports.number}"
+    home.mkdir()
+    path = home / "config.json"
+    path.write_text(json.dumps(configuration(deployment, ports, seed)))
+    command = os.environ.get(RUN_VARIABLE) or str(deployed(HERE)["run"])
+    return await children.start(
+        f"gateway-{ports.number}", ["/bin/sh", "-c", command],
+        {"RELAY_CONFIG": str(path), "TMPDIR": str(home)})
+
+
+async def wait_ready(child: Child, ports: RealGatewayPorts, within: float) -> None:
+    """ChildNotStarted where it does not get ready."""
+    try:
+        async with asyncio.timeout(within):
+            while not await is_ready(ports.gateway):
+                await asyncio.sleep(READY_POLL_SECONDS)
+    except TimeoutError:
+        raise ChildNotStarted(
+            f"{child.name} did not get ready within {within:.0f} s{child.last_words()}") from None
+
+
+async def is_ready(port: int) -> bool:
+    try:
+        reader, writer = await asyncio.open_connection(HOST, port)
+    except OSError:
+        return False
+    try:
+        writer.write(READY)
+        first, _, _ = await read_message(reader)
+        return first.split()[1] == "200"
+    except (OSError, asyncio.IncompleteReadError):
+        return False
+    finally:
+        writer.close()
