--- a/embersill/lab/__main__.py
+++ b/embersill/lab/__main__.py
@@ -19,6 +19,7 @@
 from embersill.lab.experiments import Variant, as_text
 from embersill.lab.plays import Book, Play, Report, run_all
 from embersill.lab.scenario import BadScenario, build_scenario, change, check_real, load
+from embersill.lab.scale.arguments import add_parser as add_scale_parser
 from embersill.lab.versions import BadVersion, policy_files
 
 SHIPPED = pathlib.Path(__file__).parent / "scenarios"
@@ -56,6 +57,7 @@
                       help="a checkout whose decisions play; may be repeated")
     rank.add_argument("--recorded", metavar="FILE", type=pathlib.Path,
                       help="TOML: a figure for each name, to whose ranking this one is held")
+    add_scale_parser(commands)
     report = commands.add_parser("report", help="write the page of an --out folder again")
     report.add_argument("folder", type=pathlib.Path)
     return made
@@ -245,6 +247,10 @@
     try:
         if told.command == "list":
             return show_list()
+        if told.command == "scale":
+            from embersill.lab.scale.command import run_command  # needs the list service's packages too
+
+            return run_command(told)
         return write_again(told.folder) if told.command == "report" else experiment(told)
     except KeyboardInterrupt:
         kept = "" if getattr(told, "out", None) is None else f"; what was played is kept in {told.out}"
--- a/embersill/lab/scale/children.py
+++ b/embersill/lab/scale/children.py
@@ -110,6 +110,7 @@
         self.all: list[Child] = []
         self.watchers: list[asyncio.Task[None]] = []
         self.ended: asyncio.Future[Child] = asyncio.get_running_loop().create_future()
+        self.starting = True  # until the play says that all are ready
         self.closing = False
 
     async def __aenter__(self) -> Self:
@@ -160,7 +161,8 @@
             if self.ended.done():
                 child = self.ended.result()
                 code = child.process.returncode
-                raise ChildFailed(f"{child.name} ended with {code}{child.last_words()}")
+                kind = ChildNotStarted if self.starting else ChildFailed
+                raise kind(f"{child.name} ended with {code}{child.last_words()}")
             raise ChildFailed(f"the play did not end within {within:.0f} s")
         finally:
             working.cancel()
--- a/embersill/lab/scale/counter_process.py
+++ b/embersill/lab/scale/counter_process.py
@@ -1,4 +1,4 @@
-"""A stand-in for the counter service: python -m embersill.lab.scale.counter_process, as a child of the command.
+"""A stand-in for the counter service, as a child: python -m embersill.lab.scale.counter_process
 
 It speaks the published form of the calls. All gateways of a play call from one address, so that the service's
 bound on connections from one address is left out; connections that stand idle are closed as there.
--- a/embersill/lab/scale/list_service.py
+++ b/embersill/lab/scale/list_service.py
@@ -95,7 +95,7 @@
     async def write_for(self, seconds: float, per_second: float) -> None:
         """Evenly spaced writes, the first after half a space."""
         began = time.monotonic()
-        for number in range(round(seconds * per_second)):
+        for number in range(int(seconds * per_second)):
             due = began + (number + 0.5) / per_second
             await asyncio.sleep(max(due - time.monotonic(), 0.0))
             await self.write_once()
--- /dev/null
+++ b/embersill/lab/scale/plan.py
@@ -0,0 +1,32 @@
+"""A play that is to be made, and the times that bound it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from embersill.lab.scale.records import FleetSize
+
+STARTS_PER_SECOND = 400.0  # gateways of the whole fleet: the list service answers them as they come
+PEER_START_SECONDS = 15.0  # for a process to get ready
+NEWS_SECONDS = 1.5  # after the measured time, for the last news to arrive, at the most
+RESTART_PATIENCE_SECONDS = 20.0  # the same where gateways restart and need whole lists
+
+
+@dataclass(frozen=True, slots=True)
+class PlayPlan:
+    """A play that is to be made."""
+
+    axis: str
+    value: float
+    number: int
+    seed: int
+    size: FleetSize
+    seconds: float
+    warm_up_seconds: float
+    workers: int
+    real_gateways: int
+
+    def limit_seconds(self) -> float:
+        """After which the play is broken off."""
+        starting = 3 * PEER_START_SECONDS + 3 * self.size.gateways / STARTS_PER_SECOND
+        return starting + self.warm_up_seconds + self.seconds + NEWS_SECONDS + RESTART_PATIENCE_SECONDS
--- a/embersill/lab/scale/play.py
+++ b/embersill/lab/scale/play.py
@@ -24,16 +24,19 @@
     GatewayCounts, GatewaysReady, ListAnswers, Listening, Message, ReadFigures, Restart,
     WorkerReport, WorkerTask, total,
 )
+from embersill.lab.scale.plan import (
+    NEWS_SECONDS, PEER_START_SECONDS, RESTART_PATIENCE_SECONDS, STARTS_PER_SECOND, PlayPlan,
+)
 from embersill.lab.scale.quota_account import settle
 from embersill.lab.scale.real_gateways import choose_ports, start_gateway, wait_ready
-from embersill.lab.scale.records import FleetSize, Play
+from embersill.lab.scale.records import Play
 
-STARTS_PER_SECOND = 400.0  # gateways of the whole fleet: the list service answers them as they come
-PEER_START_SECONDS = 15.0
 ANSWER_SECONDS = 10.0
-NEWS_SECONDS = 1.0  # after the measured time, for the last news to arrive
+LEAST_NEWS_SECONDS = 0.2  # until the service has begun to tell them
+WATCHERS_POLL_SECONDS = 0.1
+COPY_POLL_SECONDS = 0.05
+LEAST_CUSTOMERS = 100  # at a gateway, from which their memory stands out from the rest of its growth
 RESTART_AT = 0.25  # of the measured time, at which gateways restart
-RESTART_PATIENCE_SECONDS = 20.0  # more for the play, in which restarted gateways get their lists
 MEMORY_PART = 0.5  # of the machine's, that a play may use
 MEMORY_POLL_SECONDS = 0.5
 MICROSECONDS = 1e6
@@ -44,26 +47,6 @@
     """The play's processes use more than their part of the machine's memory."""
 
 
-@dataclass(frozen=True, slots=True)
-class PlayPlan:
-    """A play that is to be made."""
-
-    axis: str
-    value: float
-    number: int
-    seed: int
-    size: FleetSize
-    seconds: float
-    warm_up_seconds: float
-    workers: int
-    real_gateways: int
-
-    def limit_seconds(self) -> float:
-        """After which the play is broken off."""
-        starting = 3 * PEER_START_SECONDS + 3 * self.size.gateways / STARTS_PER_SECOND
-        return starting + self.warm_up_seconds + self.seconds + NEWS_SECONDS + RESTART_PATIENCE_SECONDS
-
-
 @dataclass(frozen=True, slots=True)
 class PlayResult:
     """The record of a play, and the figures of each gateway that it was made from."""
@@ -125,6 +108,7 @@
     async def run(self) -> PlayResult:
         await self.start_peers()
         await self.start_fleet()
+        self.children.starting = False
         await self.order_all(BeginLoad())
         await asyncio.sleep(self.plan.warm_up_seconds)
         before = await self.snapshot()
@@ -142,6 +126,7 @@
         size = self.size
         fill_folder(self.folder / "list", size.backends, f"{HOST}:{self.backend_port}")
         roles, children = self.roles, self.children
+        await self.start_hosts()
         roles.counter = await children.start_module(
             "counter", "embersill.lab.scale.counter_process", self.counter_address.rpartition(":")[2],
             str(size.counter_parts), str(size.counter_calls_per_second))
@@ -154,6 +139,15 @@
         await roles.follower.logged("listening on", PEER_START_SECONDS)
         await self.follower_copied()
 
+    async def start_hosts(self) -> None:
+        """Processes that wait for their task: they load their modules while the peers start."""
+        for place in range(min(self.plan.workers, len(self.hollow_gateways))):
+            self.roles.workers.append(
+                await self.children.start_module(f"worker-{place}", "embersill.lab.scale.worker"))
+        if self.ports:
+            self.roles.clients = await self.children.start_module(
+                "clients", "embersill.lab.scale.clients_process")
+
     async def receive_started(self, child: Child) -> None:
         try:
             await child.receive(Listening, PEER_START_SECONDS)
@@ -164,21 +158,19 @@
         """Waits until the follower has the leader's list."""
         generation = (await self.writer.status(self.leader_address)).generation
         while (await self.writer.status(self.follower_address)).generation < generation:
-            await asyncio.sleep(MEMORY_POLL_SECONDS / 10)
+            await asyncio.sleep(COPY_POLL_SECONDS)
 
     async def start_fleet(self) -> None:
         """Hollow gateways at a bounded pace, as each asks for the whole list; real ones meanwhile."""
         counters = await start_aggregators(self.children, self.size.aggregators, self.counter_address)
-        workers = min(self.plan.workers, len(self.hollow_gateways))
-        for place in range(workers):
-            child = await self.children.start_module(f"worker-{place}", "embersill.lab.scale.worker")
+        workers = len(self.roles.workers)
+        for place, child in enumerate(self.roles.workers):
             mine = self.hollow_gateways[place::workers]
             child.send(WorkerTask(
                 self.size, self.plan.seed, mine, [self.leader_address, self.follower_address],
                 [counters[number % len(counters)] for number in mine], STARTS_PER_SECOND / workers))
-            self.roles.workers.append(child)
-        if self.ports:
-            await self.start_real_gateways(counters[0])
+        if self.roles.clients is not None:
+            await self.start_real_gateways(self.roles.clients, counters[0])
         within = PEER_START_SECONDS + 3 * self.size.gateways / STARTS_PER_SECOND
         for worker in self.roles.workers:
             try:
@@ -186,12 +178,10 @@
             except ChildFailed as error:
                 raise ChildNotStarted(f"{worker.name} did not get ready: {error}") from None
 
-    async def start_real_gateways(self, counter: str) -> None:
+    async def start_real_gateways(self, clients: Child, counter: str) -> None:
         directories = [self.leader_address, self.follower_address]
-        clients = await self.children.start_module("clients", "embersill.lab.scale.clients_process")
         clients.send(ClientsTask(
             self.size, self.plan.seed, self.backend_port, directories, counter, self.ports))
-        self.roles.clients = clients
         await self.receive_started(clients)
         for ports in self.ports:
             self.roles.gateways.append(await start_gateway(
@@ -232,11 +222,11 @@
         """Until all gateways watch again, at the most for as long as a restart may take."""
         patience = RESTART_PATIENCE_SECONDS if self.size.restarted_share > 0 else NEWS_SECONDS
         until = time.monotonic() + patience
-        await asyncio.sleep(NEWS_SECONDS)
+        await asyncio.sleep(LEAST_NEWS_SECONDS)
         while time.monotonic() < until:
             if (await self.writer.status(self.leader_address)).watchers >= self.size.gateways:
                 return
-            await asyncio.sleep(MEMORY_POLL_SECONDS)
+            await asyncio.sleep(WATCHERS_POLL_SECONDS)
 
     async def snapshot(self) -> Snapshot:
         leader, follower, counter = self.roles.leader, self.roles.follower, self.roles.counter
@@ -407,12 +397,12 @@
             "gateway_memory_mb": (loaded - before) / gateways / 2**20,
             "memory_per_backend_bytes": (listed - created) / gateways / self.plan.size.backends,
         }
-        if self.customers() and not self.restarted_at:
+        if self.customers() >= LEAST_CUSTOMERS * gateways and not self.restarted_at:
             found["memory_per_customer_bytes"] = (loaded - listed) / self.customers()
         return found
 
     def news(self) -> dict[str, float]:
-        """From a write's answer to the last hollow gateway told of it, for the writes that all were told of."""
+        """From a write's answer to the last hollow gateway told of it, for writes that all were told of."""
         took = []
         for place, write in enumerate(self.writes):
             told = [report.news[place] for report in self.reports]
