Test scale runs: hollow against real gateways, the counter's form, stops and bad use

Cause: a hollow gateway's figures are worth what they agree with a real one's. Change: the comparison's tolerance is five standard deviations by counting statistics; list calls agree but for the window's edges.

--- a/embersill/lab/scale/hollow.py
+++ b/embersill/lab/scale/hollow.py
@@ -20,7 +20,7 @@
 )
 from embersill.lab.scale.clock import unix_time
 from embersill.lab.scale.deployment import (
-    BUDGET_SECONDS, COUNTER_PATIENCE_SECONDS, DIAL_TIMEOUT_SECONDS, Deployment, DrawnRequest, customer_name,
+    BUDGET_SECONDS, DIAL_TIMEOUT_SECONDS, Deployment, DrawnRequest, customer_name,
 )
 from embersill.lab.scale.messages import GatewayCounts, QuotaEvents
 from embersill.lab.scale.metering import ByteMeter, metered_loop
@@ -137,7 +137,7 @@
         self.loop = asyncio.get_running_loop()
         self.gateway = Gateway(deployment.settings(number), seed, unix_time())
         self.counter = Counter(
-            unix_time, counter, COUNTER_PATIENCE_SECONDS, DIAL_TIMEOUT_SECONDS, self.counter_told)
+            unix_time, counter, deployment.counter_patience_seconds, DIAL_TIMEOUT_SECONDS, self.counter_told)
         self.counter.loop = metered_loop(figures.counter_meter)
         self.discovery = CountingDiscovery(
             directories, DIAL_TIMEOUT_SECONDS, self.list_told, None, seed, deployment.size.gateways)
--- /dev/null
+++ b/tests/test_scale_hollow.py
@@ -0,0 +1,162 @@
+"""Hollow gateways of scale runs: they must do what real ones do, at equal load. Verdicts rest on counts."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import statistics
+from collections.abc import Sequence
+from dataclasses import replace
+from math import sqrt
+
+import pytest
+
+from embersill.lab.scale.axes import SMALL_BASE
+from embersill.lab.scale.bounds import broken_bounds
+from embersill.lab.scale.deployment import Deployment, QuotaPlan, quota_tier
+from embersill.lab.scale.messages import GatewayCounts, QuotaEvents
+from embersill.lab.scale.plan import PlayPlan
+from embersill.lab.scale.play import PlayResult, run_play
+from embersill.lab.scale.quota_account import settle
+from embersill.lab.scale.records import FleetSize
+
+SIGMAS = 5.0  # standard deviations that two means of the same thing may be apart: chance alone takes them
+# further once in two million comparisons
+# every customer enters through every gateway, so that all gateways have the same load
+EVEN_FLEET = FleetSize(
+    gateways=12, backends=60, customers=200, spread=12, requests_per_second=20.0, changes_per_second=2.0,
+    restarted_share=0.0)
+REAL = 2
+EDGE_CALLS = 2  # calls of one gateway that another may have had just outside of the window: one at each end
+
+
+def play(folder: pathlib.Path, size: FleetSize, seconds: float, real: int) -> PlayResult:
+    plan = PlayPlan("test", 0.0, 0, 1, size, seconds, 1.0, 2, real)
+    return asyncio.run(run_play(plan, folder))
+
+
+@pytest.fixture(scope="module")
+def side_by_side(tmp_path_factory: pytest.TempPathFactory) -> PlayResult:
+    return play(tmp_path_factory.mktemp("even"), EVEN_FLEET, 6.0, REAL)
+
+
+def figures(counts: Sequence[GatewayCounts], name: str) -> list[float]:
+    return [float(getattr(c, name)) for c in counts]
+
+
+def tolerance(hollow: Sequence[float], real: Sequence[float]) -> float:
+    """Of the difference between the means, by counting statistics.
+
+    The variance of one gateway's count is what hollow ones show among themselves, and at least that of
+    independent events, which is their mean.
+    """
+    variance = max(statistics.variance(hollow), statistics.fmean(hollow), 1.0)
+    return SIGMAS * sqrt(variance * (1 / len(hollow) + 1 / len(real)))
+
+
+@pytest.mark.parametrize("name", ["requests", "served", "refused", "counter_calls"])
+def test_hollow_gateways_do_as_much_as_real_ones(side_by_side: PlayResult, name: str) -> None:
+    hollow, real = figures(side_by_side.hollow, name), figures(side_by_side.real, name)
+    assert len(hollow) == EVEN_FLEET.gateways - REAL and len(real) == REAL
+    assert abs(statistics.fmean(hollow) - statistics.fmean(real)) <= tolerance(hollow, real), (hollow, real)
+
+
+def test_hollow_and_real_gateways_end_requests_alike(side_by_side: PlayResult) -> None:
+    for counts in (*side_by_side.hollow, *side_by_side.real):
+        assert counts.failed == 0
+    shares = [[c.refused / c.requests for c in side] for side in (side_by_side.hollow, side_by_side.real)]
+    requests = statistics.fmean(figures(side_by_side.hollow, "requests"))
+    pooled = statistics.fmean(shares[0])
+    variance = max(statistics.variance(shares[0]), pooled * (1 - pooled) / requests, 1 / requests**2)
+    apart = abs(statistics.fmean(shares[0]) - statistics.fmean(shares[1]))
+    assert apart <= SIGMAS * sqrt(variance * (1 / len(shares[0]) + 1 / len(shares[1]))), shares
+
+
+def test_hollow_gateways_call_the_list_service_as_real_ones_do(side_by_side: PlayResult) -> None:
+    """Each change ends each gateway's watch: but for the window's edges the calls are the same in number."""
+    hollow, real = side_by_side.hollow, side_by_side.real
+    calls = figures(hollow, "list_calls") + figures(real, "list_calls")
+    assert max(calls) - min(calls) <= EDGE_CALLS, calls
+    for name in ("list_bytes_out", "list_bytes_in"):
+        found = figures(hollow, name) + figures(real, name)
+        one_call = max(found) / max(min(calls), 1.0)
+        assert max(found) - min(found) <= EDGE_CALLS * one_call, (name, found)
+
+
+def test_a_counter_call_has_as_many_bytes_as_at_real_ones(side_by_side: PlayResult) -> None:
+    """Calls have one form; the amount and the total have a few digits more or less."""
+    for name, most_apart in (("counter_bytes_out", 4.0), ("counter_bytes_in", 4.0)):
+        sides = []
+        for side in (side_by_side.hollow, side_by_side.real):
+            sides.append(sum(figures(side, name)) / sum(figures(side, "counter_calls")))
+        assert abs(sides[0] - sides[1]) <= most_apart, (name, sides)
+
+
+def test_counts_keep_to_the_protocols_bounds(side_by_side: PlayResult) -> None:
+    assert broken_bounds(side_by_side.play) == []
+
+
+def test_a_count_over_its_bound_is_told(side_by_side: PlayResult) -> None:
+    play = side_by_side.play
+    for measure, factor in (("counter_calls_per_gateway", 100.0), ("list_calls_per_gateway", 10.0),
+                            ("whole_lists_per_start", 1.01), ("whole_list_bytes", 10.0),
+                            ("counter_bytes_out_per_gateway", 10.0), ("change_bytes", 100.0)):
+        changed = replace(play, counts={**play.counts, measure: factor * play.counts[measure]})
+        assert measure in {broken.measure for broken in broken_bounds(changed)}
+
+
+def test_gateways_that_restart_together_get_the_whole_list_once(tmp_path: pathlib.Path) -> None:
+    result = play(tmp_path, replace(SMALL_BASE, restarted_share=0.5), 2.0, 0)
+    restarted = SMALL_BASE.gateways // 2
+    counts = result.play.counts
+    assert counts["restart_list_calls_fleet"] == restarted
+    assert counts["whole_lists_per_start"] == 1.0
+    assert counts["restart_bytes_per_gateway"] > counts["whole_list_bytes"]
+    assert "restart_all_told_s" in result.play.times
+    assert broken_bounds(result.play) == []
+
+
+def test_a_deployment_follows_from_size_and_seed() -> None:
+    one, two = Deployment(EVEN_FLEET, 5), Deployment(EVEN_FLEET, 5)
+    assert one.tiers == two.tiers
+    assert one.told_settings(3) == two.told_settings(3)
+    assert Deployment(EVEN_FLEET, 6).tiers != one.tiers
+
+
+def test_a_customer_enters_through_as_many_gateways_in_a_row_as_its_spread() -> None:
+    size = replace(EVEN_FLEET, spread=4)
+    deployment = Deployment(size, 1)
+    entered: dict[int, list[int]] = {}
+    for gateway in range(size.gateways):
+        for customer in deployment.load_of(gateway).customers:
+            entered.setdefault(customer, []).append(gateway)
+    assert len(entered) == size.customers
+    for customer, gateways in entered.items():
+        first = int(deployment.first_gateways[customer])
+        assert sorted(gateways) == sorted((first + step) % size.gateways for step in range(size.spread))
+
+
+def test_demands_add_up_to_the_requests_of_all_gateways() -> None:
+    demands = Deployment(EVEN_FLEET, 1).demands()
+    asked = EVEN_FLEET.gateways * EVEN_FLEET.requests_per_second
+    assert float(demands.sum()) == pytest.approx(asked)
+
+
+def test_a_plan_holds_its_customers_demand_unless_it_is_heavy() -> None:
+    for demand in (0.1, 1.0, 7.0, 300.0):
+        assert 1.4 * 2 ** quota_tier(demand, False) >= demand / 0.4
+    assert 1.4 * 2 ** quota_tier(300.0, True) <= 300.0 / 1.5
+
+
+def test_the_quota_account_puts_events_of_all_processes_in_one_order() -> None:
+    deployment = Deployment(replace(EVEN_FLEET, customers=1, spread=1), 1)
+    deployment.tiers, deployment.plans = [0], [QuotaPlan("p", 1.0, 2.0)]
+    one = QuotaEvents([10.0, 10.2, 12.0], [0, 0, 0], [True, True, False])
+    two = QuotaEvents([10.1, 10.3, 9.0], [0, 0, 0], [True, False, False])
+    # full with 2 at 9.0 (a refusal with room); 10.0 and 10.1 take them; at 10.2 a tenth or two is there;
+    # 10.3 is refused rightly; at 12.0 there is room again
+    outcome = settle(deployment, [one, two], 9.0, 13.0)
+    assert (outcome.sent, outcome.refused) == (3, 3)
+    assert (outcome.beyond_quota, outcome.refused_with_room) == (1, 2)
+    later = settle(deployment, [one, two], 10.15, 13.0)
+    assert (later.sent, later.refused, later.beyond_quota, later.refused_with_room) == (1, 2, 1, 1)
