--- a/embersill/lab/scale/children.py
+++ b/embersill/lab/scale/children.py
@@ -42,6 +42,14 @@
     LIBC.prctl(SET_PARENT_DEATH_SIGNAL, signal.SIGKILL)
 
 
+def kill_session(pid: int) -> None:
+    """Kills a process that leads a session, with what it has started."""
+    try:
+        os.killpg(pid, signal.SIGKILL)
+    except ProcessLookupError:
+        pass  # it has ended meanwhile
+
+
 class Child:
     """One process, with its log and, where it speaks in messages, its streams."""
 
@@ -122,7 +130,7 @@
         self.closing = True
         for child in self.all:
             if child.process.returncode is None:
-                child.process.kill()
+                kill_session(child.pid)
         await asyncio.gather(*self.watchers)
 
     async def start(
--- a/embersill/lab/scale/messages.py
+++ b/embersill/lab/scale/messages.py
@@ -145,6 +145,7 @@
 class WorkerReport(Message, frozen=True):
     """Figures of one process's gateways."""
 
+    seconds: float  # of measured time at this process
     counts: list[GatewayCounts]
     customers: list[int]  # that each gateway keeps a state for
     starts: int
--- a/embersill/lab/scale/play.py
+++ b/embersill/lab/scale/play.py
@@ -281,7 +281,12 @@
 
     def per_gateway(self, name: str) -> float:
         """Mean over hollow gateways, a second."""
-        return total(self.hollow, name) / len(self.hollow) / self.plan.seconds
+        return total(self.hollow, name) / self.hollow_seconds
+
+    @property
+    def hollow_seconds(self) -> float:
+        """Measured time of all hollow gateways together."""
+        return sum(report.seconds * len(report.counts) for report in self.reports)
 
     def served_bytes(self, before: ServiceFigures, after: ServiceFigures) -> float:
         told = after.figures.get("bytes told", 0) - before.figures.get("bytes told", 0)
@@ -350,13 +355,12 @@
         return found
 
     def times(self) -> dict[str, float]:
-        hollow_seconds = len(self.hollow) * self.plan.seconds
         module = sum(report.module_seconds for report in self.reports)
         process = sum(report.process_seconds for report in self.reports)
         requests = total(self.hollow, "requests")
         found = {
-            "module_cpu_share": module / hollow_seconds,
-            "control_cpu_share": (process - module) / hollow_seconds,
+            "module_cpu_share": module / self.hollow_seconds,
+            "control_cpu_share": (process - module) / self.hollow_seconds,
             **self.peer_times(), **self.answer_times(), **self.memory(), **self.news(), **self.added(),
         }
         if requests:
--- a/embersill/lab/scale/worker.py
+++ b/embersill/lab/scale/worker.py
@@ -34,6 +34,7 @@
 class Window:
     """Figures at a moment, of which differences are taken."""
 
+    at: float  # monotonic
     counts: list[GatewayCounts]
     module_seconds: float
     process_seconds: float
@@ -98,13 +99,16 @@
             self.hollow[place].start()
 
     def window(self) -> Window:
-        return Window([f.counts() for f in self.figures], self.process.module_seconds, time.process_time())
+        return Window(
+            time.monotonic(), [f.counts() for f in self.figures], self.process.module_seconds,
+            time.process_time())
 
     def report(self, generations: list[int]) -> WorkerReport:
         counts = [after.since(before) for before, after in
                   zip(self.began.counts, self.ended.counts, strict=True)]
         return WorkerReport(
-            counts, [len(made.gateway.throttles) for made in self.hollow], self.process.starts,
+            self.ended.at - self.began.at, counts, [len(made.gateway.throttles) for made in self.hollow],
+            self.process.starts,
             told(self.process.whole_lists), told(self.process.changes),
             self.ended.module_seconds - self.began.module_seconds,
             self.ended.process_seconds - self.began.process_seconds,
