--- a/embersill/lab/scale/command.py
+++ b/embersill/lab/scale/command.py
@@ -43,6 +43,7 @@
 RUN_LIMIT_MORE_SECONDS = 60.0
 SMALL_LIMIT_SECONDS = 100.0
 SPARE_DESCRIPTORS = 128
+SINGLE_PEERS = 3  # the counter, and the leader and the follower of the list service
 LINES_PER_GATEWAY = 4  # connections of a gateway to the counter
 WATCHES_PER_GATEWAY = 2  # connections of a gateway to the list service, one of them while it turns to it
 GATEWAY_BYTES = 600_000  # of a hollow gateway without a list, for the estimate
@@ -93,6 +94,9 @@
     descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     for plan in plans:
         where = f"{plan.axis}={plan.value:g}"
+        if needed_processes(plan) > MOST_CHILDREN:
+            raise BadScaleUse(
+                f"{where} needs {needed_processes(plan)} processes, and {MOST_CHILDREN} are the most")
         needed = needed_descriptors(plan)
         if needed > descriptors:
             raise BadScaleUse(
@@ -103,6 +107,12 @@
                 f"{where} needs some {memory / 2**30:.1f} GB, and {most / 2**30:.1f} may be used")
 
 
+def needed_processes(plan: PlayPlan) -> int:
+    """Hosts of gateways, real gateways with their clients, aggregators, the counter and the list service."""
+    around_real = plan.real_gateways + 1 if plan.real_gateways else 0
+    return plan.workers + around_real + plan.size.aggregators + SINGLE_PEERS
+
+
 def needed_descriptors(plan: PlayPlan) -> int:
     """Of the process that needs most: the counter, or one that hosts gateways."""
     hosted = math.ceil(plan.size.gateways / plan.workers)
--- a/embersill/lab/scale/play.py
+++ b/embersill/lab/scale/play.py
@@ -14,7 +14,7 @@
 from hdrh.histogram import HdrHistogram
 
 from embersill.lab.peers import HOST, free_port
-from embersill.lab.scale.aggregators import start_aggregators
+from embersill.lab.scale.aggregators import Aggregator, start_aggregators
 from embersill.lab.scale.children import Child, ChildFailed, Children, ChildNotStarted
 from embersill.lab.scale.clock import Usage, machine_memory
 from embersill.lab.scale.deployment import Deployment
@@ -66,6 +66,7 @@
     counter: Child | None = None
     clients: Child | None = None
     gateways: list[Child] = field(default_factory=list)
+    aggregators: list[Aggregator] = field(default_factory=list)
 
     def speaking(self) -> list[Child]:
         """Those that take orders during the play."""
@@ -80,6 +81,7 @@
     leader: Usage
     follower: Usage
     counter: Usage
+    aggregators: list[Usage]
     leader_figures: ServiceFigures
     follower_figures: ServiceFigures
     counter_figures: CounterFigures
@@ -162,7 +164,8 @@
 
     async def start_fleet(self) -> None:
         """Hollow gateways at a bounded pace, as each asks for the whole list; real ones meanwhile."""
-        counters = await start_aggregators(self.children, self.size.aggregators, self.counter_address)
+        self.roles.aggregators = await start_aggregators(self.children, self.size, self.counter_address)
+        counters = [a.address for a in self.roles.aggregators] or [self.counter_address]
         workers = len(self.roles.workers)
         for place, child in enumerate(self.roles.workers):
             mine = self.hollow_gateways[place::workers]
@@ -234,6 +237,7 @@
         counted = await counter.ask(ReadFigures(), CounterFigures, ANSWER_SECONDS)
         return Snapshot(
             time.monotonic(), leader.usage(), follower.usage(), counter.usage(),
+            [aggregator.child.usage() for aggregator in self.roles.aggregators],
             await self.writer.status(self.leader_address), await self.writer.status(self.follower_address),
             counted)
 
@@ -380,7 +384,18 @@
         for name, (before, after) in pairs.items():
             found[f"{name}_cpu_share"] = (after.cpu_seconds - before.cpu_seconds) / self.seconds
             found[f"{name}_memory_mb"] = after.memory_bytes / 2**20
-        return found
+        return found | self.aggregator_times()
+
+    def aggregator_times(self) -> dict[str, float]:
+        """Means over aggregators."""
+        pairs = list(zip(self.before.aggregators, self.after.aggregators, strict=True))
+        if not pairs:
+            return {}
+        used = statistics.fmean(after.cpu_seconds - before.cpu_seconds for before, after in pairs)
+        return {
+            "aggregator_cpu_share": used / self.seconds,
+            "aggregator_memory_mb": statistics.fmean(after.memory_bytes for _, after in pairs) / 2**20,
+        }
 
     def answer_times(self) -> dict[str, float]:
         found = {}
