--- a/embersill/lab/scale/command.py
+++ b/embersill/lab/scale/command.py
@@ -4,7 +4,6 @@
 
 import argparse
 import asyncio
-import importlib
 import math
 import os
 import pathlib
@@ -167,16 +166,13 @@
 
     def finish(self) -> None:
         """Adds the slopes, and draws the plots."""
-        try:
-            fits = importlib.import_module("embersill.lab.scale.fits")
-            plots = importlib.import_module("embersill.lab.scale.plots")
-        except ModuleNotFoundError as error:
-            return print(f"embersill.lab: no slopes and no plots: {error}", file=sys.stderr)
-        self.record = replace(self.record, slopes=fits.fit_slopes(self.record.plays))
+        from embersill.lab.scale.fits import fit_slopes  # scipy and matplotlib take a second to load
+        from embersill.lab.scale.plots import write_plots
+
+        self.record = replace(self.record, slopes=fit_slopes(self.record.plays))
         self.write()
         if self.folder is not None:
-            plots.write_plots(self.record, self.folder)
-        return None
+            write_plots(self.record, self.folder)
 
 
 def describe(play: Play, took: float) -> str:
