--- a/tests/test_framing_requests.py
+++ b/tests/test_framing_requests.py
@@ -97,7 +97,7 @@
             _, text = await send(bed, sent)
             check_stream(sent.wire, read_answers(text), backend.arrivals)
             texts.append(text)
-        await settle(bed, bystander)
+        assert (await bystander.ask(request(0xfff)))[0] == 200
         await peers[0].stop()
 
     peers: list[SpelledBackend] = []
