--- /dev/null
+++ b/embersill/aggregator/membership.py
@@ -0,0 +1,130 @@
+"""Keeps an aggregator registered in a list service: a lease, renewed by heartbeats."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+import uuid
+from dataclasses import dataclass
+from typing import Any
+
+import aiohttp
+
+LEASE_MS = 10_000
+HEARTBEAT = LEASE_MS / 3000.0  # seconds: two of three heartbeats may be lost
+CALL_TIMEOUT = 2.0  # seconds
+RETRY_AFTER = 1.0  # seconds
+MACHINE_TYPE = "aggregator"
+
+log = logging.getLogger("embersill.aggregator")
+
+
+@dataclass(frozen=True, slots=True)
+class MembershipOptions:
+    """What an aggregator is registered as, and where."""
+
+    directory: str  # HOST:PORT
+    instance_id: str
+    host_port: str
+    zone: str = ""
+
+
+class Superseded(Exception):
+    """Another process has registered under this id."""
+
+
+class Membership:
+    """One registration. Failures are logged and tried again: the server works on without it."""
+
+    def __init__(self, options: MembershipOptions) -> None:
+        self.options = options
+        self.url = f"http://{options.directory}/v1/instances/{options.instance_id}"
+        self.process = uuid.uuid4().hex
+        self.started_at_ms = int(time.time() * 1000)
+        self.session: aiohttp.ClientSession | None = None
+        self.task: asyncio.Task[None] | None = None
+        self.registered = False
+
+    async def start(self) -> None:
+        """Begins to register and to renew."""
+        self.session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT))
+        self.task = asyncio.get_running_loop().create_task(self.run())
+
+    async def run(self) -> None:
+        while True:
+            try:
+                await self.renew() if self.registered else await self.register()
+                await asyncio.sleep(HEARTBEAT if self.registered else RETRY_AFTER)
+            except Superseded:
+                log.error("another process is registered as %s: no more heartbeats", self.options.instance_id)
+                return
+            except (aiohttp.ClientError, TimeoutError, OSError) as error:
+                log.warning("the list service does not answer: %s", error or type(error).__name__)
+                await asyncio.sleep(RETRY_AFTER)
+
+    async def call(
+        self,
+        method: str,
+        path: str = "",
+        body: dict[str, Any] | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> tuple[int, str]:
+        """A call on this instance: the answer's status and its version, as a header names it."""
+        assert self.session is not None
+        async with self.session.request(method, self.url + path, json=body, headers=headers) as response:
+            await response.read()
+            return response.status, response.headers.get("ETag", "")
+
+    async def condition(self) -> dict[str, str]:
+        """The header that a write must have: the version it rests on."""
+        status, version = await self.call("GET")
+        return {"If-Match": version} if status == 200 else {"If-None-Match": "*"}
+
+    async def register(self) -> None:
+        body = {
+            "hostPort": self.options.host_port,
+            "process": self.process,
+            "zone": self.options.zone,
+            "machineType": MACHINE_TYPE,
+            "startedAtMs": self.started_at_ms,
+            "leaseMs": LEASE_MS,
+        }
+        status, _ = await self.call("PUT", body=body, headers=await self.condition())
+        self.registered = status in (200, 201)
+        if self.registered:
+            log.info("registered as %s at %s", self.options.instance_id, self.options.host_port)
+        else:
+            log.warning("registration was refused with status %d", status)
+
+    async def renew(self) -> None:
+        status, _ = await self.call("POST", "/lease", {"process": self.process})
+        if status == 412:
+            raise Superseded()
+        if status == 404:
+            self.registered = False
+            await self.register()
+
+    async def drain(self) -> None:
+        """Tells gateways to go elsewhere."""
+        await self.write_once("PUT", "/lifecycle", {"process": self.process, "lifecycle": "DRAINING"})
+
+    async def stop(self) -> None:
+        """Ends the heartbeats and the registration."""
+        if self.task is not None:
+            self.task.cancel()
+            await asyncio.gather(self.task, return_exceptions=True)
+        await self.write_once("DELETE")
+        if self.session is not None:
+            await self.session.close()
+
+    async def write_once(self, method: str, path: str = "", body: dict[str, Any] | None = None) -> None:
+        """A write that is not tried again: without it the lease runs out in its time."""
+        if not self.registered:
+            return
+        try:
+            status, _ = await self.call(method, path, body, await self.condition())
+            if status >= 400:
+                log.warning("%s%s was refused with status %d", method, path, status)
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            log.warning("the list service does not answer: %s", error or type(error).__name__)
--- /dev/null
+++ b/embersill/aggregator/server.py
@@ -0,0 +1,298 @@
+"""The RESP2 server: reads gateways' calls, asks the state, and carries its forwards upstream."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, cast
+
+import hiredis
+
+from embersill.aggregator import resp
+from embersill.aggregator.messages import Forward, ForwardResult, Wait
+from embersill.aggregator.state import Aggregation, Limits
+from embersill.aggregator.upstream import Upstream, UpstreamOptions
+
+TICK = 0.005  # seconds between looks at what is due
+IDLE_LIMIT = 10.0  # seconds after which an unused connection is closed
+IDLE_CHECK = 1.0  # seconds between looks for idle connections
+MOST_CALL_BYTES = 64 * 1024  # of one call that is not complete
+MOST_OUTPUT_BYTES = 256 * 1024  # unread by one caller: then it is closed
+MOST_UNANSWERED = 1_024  # calls of one connection: then it is not read until half are answered
+BACKLOG = 4_096  # connections not yet accepted: a fleet that returns together
+
+
+@dataclass(slots=True, eq=False)
+class PendingReply:
+    """A reply's place in a connection's order."""
+
+    text: bytes | None = None
+
+
+@dataclass(slots=True)
+class ServerFigures:
+    """Counts since the start."""
+
+    connections_refused: int = 0
+    connections_idle: int = 0
+    connections_slow: int = 0
+    calls_malformed: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class ServerOptions:
+    """Where the server listens and how much it takes."""
+
+    host: str
+    port: int
+    connections: int = 8_000
+    idle_limit: float = IDLE_LIMIT  # seconds
+
+
+@dataclass(slots=True, eq=False)
+class Caller:
+    """Who waits for a ticket's answer."""
+
+    connection: ServerConnection
+    reply: PendingReply = field(default_factory=PendingReply)
+
+
+class ServerConnection(asyncio.Protocol):
+    """A gateway's connection: calls are answered in their order."""
+
+    def __init__(self, server: Server) -> None:
+        self.server = server
+        self.transport: asyncio.Transport | None = None
+        self.reader = hiredis.Reader()
+        self.replies: deque[PendingReply] = deque()
+        self.output: list[bytes] = []
+        self.incomplete_bytes = 0
+        self.used_at = server.loop.time()
+        self.reading_paused = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)  # uvloop's is one in all but its bases
+        if len(self.server.connections) >= self.server.options.connections:
+            self.server.figures.connections_refused += 1
+            self.transport.abort()
+            return
+        self.server.connections.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.server.connections.discard(self)
+        self.replies.clear()
+
+    def data_received(self, data: bytes) -> None:
+        self.used_at = self.server.loop.time()
+        self.incomplete_bytes += len(data)
+        self.reader.feed(data)
+        try:
+            while (message := self.reader.gets()) is not False:
+                self.incomplete_bytes = 0
+                self.server.execute(message, self)
+        except hiredis.ProtocolError:
+            return self.refuse("not a RESP2 call")
+        if self.incomplete_bytes > MOST_CALL_BYTES:
+            return self.refuse("the call is too long")
+        self.flush()
+
+    def refuse(self, why: str) -> None:
+        """Answers what can be answered and closes: the bytes that follow can't be read."""
+        self.server.figures.calls_malformed += 1
+        self.reply(resp.error_text(why))
+        self.flush()
+        if self.transport is not None:
+            self.transport.close()
+
+    def reply(self, text: bytes) -> None:
+        """Answers the call just read, behind those before it."""
+        if self.replies:
+            self.replies.append(PendingReply(text))
+        else:
+            self.output.append(text)
+
+    def reply_later(self) -> Caller:
+        """Keeps the place of an answer that is still to come."""
+        caller = Caller(self)
+        self.replies.append(caller.reply)
+        return caller
+
+    def flush(self) -> None:
+        """Writes the answers that are ready and next in order."""
+        while self.replies and (text := self.replies[0].text) is not None:
+            self.output.append(text)
+            self.replies.popleft()
+        self.control_reading()
+        if not self.output or self.transport is None:
+            return
+        output, self.output = self.output, []
+        if self.transport.is_closing():
+            return
+        self.transport.write(b"".join(output))
+        if self.transport.get_write_buffer_size() > MOST_OUTPUT_BYTES:
+            self.server.figures.connections_slow += 1
+            self.transport.abort()
+
+    def control_reading(self) -> None:
+        if self.transport is None or self.transport.is_closing():
+            return
+        if not self.reading_paused and len(self.replies) > MOST_UNANSWERED:
+            self.reading_paused = True
+            self.transport.pause_reading()
+        elif self.reading_paused and len(self.replies) <= MOST_UNANSWERED // 2:
+            self.reading_paused = False
+            self.transport.resume_reading()
+
+    def close_if_idle(self, now: float) -> None:
+        idle = now - self.used_at >= self.server.options.idle_limit
+        if idle and not self.replies and self.transport is not None:
+            self.server.figures.connections_idle += 1
+            self.transport.close()
+
+    def eof_received(self) -> bool:
+        return False
+
+
+class Server:
+    """One aggregator: its state, its callers and its way upstream."""
+
+    def __init__(
+        self, options: ServerOptions, limits: Limits, upstream: UpstreamOptions, seed: int | None = None
+    ) -> None:
+        self.options = options
+        self.loop = asyncio.get_running_loop()
+        self.state = Aggregation(limits, self.loop.time(), seed)
+        self.upstream = Upstream(upstream, self.forward_ended)
+        self.figures = ServerFigures()
+        self.connections: set[ServerConnection] = set()
+        self.callers: dict[int, Caller] = {}
+        self.pump_soon: asyncio.Handle | None = None
+        self.timers: list[asyncio.Task[None]] = []
+        self.listener: asyncio.Server | None = None
+        self.commands: dict[bytes, Callable[[list[bytes], ServerConnection], None]] = {
+            b"CNT.ADD": self.execute_add,
+            b"PING": lambda words, connection: connection.reply(resp.PONG),
+            b"CLIENT": lambda words, connection: connection.reply(resp.OK),
+            b"SELECT": lambda words, connection: connection.reply(resp.OK),
+            b"AGG.STATS": self.execute_statistics,
+        }
+
+    # start and stop
+
+    async def start(self) -> None:
+        """Listens; the first probe goes upstream at once."""
+        self.listener = await self.loop.create_server(
+            lambda: ServerConnection(self), self.options.host, self.options.port, backlog=BACKLOG
+        )
+        self.timers = [self.loop.create_task(self.tick()), self.loop.create_task(self.close_idle())]
+
+    @property
+    def port(self) -> int:
+        """The port it listens at."""
+        assert self.listener is not None
+        return int(self.listener.sockets[0].getsockname()[1])
+
+    async def drain(self, within: float) -> bool:
+        """Takes no more calls and forwards what is held, for so many seconds; whether all of it went."""
+        self.state.drain()
+        deadline = self.loop.time() + within
+        while not self.state.is_drained() and self.loop.time() < deadline:
+            await asyncio.sleep(TICK)
+        return self.state.is_drained()
+
+    async def stop(self) -> None:
+        """Closes all connections; what is still held is lost."""
+        if self.listener is not None:
+            self.listener.close()
+        for timer in self.timers:
+            timer.cancel()
+        if self.pump_soon is not None:
+            self.pump_soon.cancel()
+        self.upstream.close()
+        for connection in list(self.connections):
+            if connection.transport is not None:
+                connection.transport.abort()
+        await asyncio.gather(*self.timers, return_exceptions=True)
+
+    # calls
+
+    def execute(self, message: object, connection: ServerConnection) -> None:
+        """Carries out one call."""
+        if not isinstance(message, list) or not message or not all(isinstance(w, bytes) for w in message):
+            return self.refuse_call("a call is an array of bulk strings", connection)
+        command = self.commands.get(message[0].upper())
+        if command is None:
+            return self.refuse_call("unknown command", connection)
+        command(message, connection)
+
+    def refuse_call(self, why: str, connection: ServerConnection) -> None:
+        self.figures.calls_malformed += 1
+        connection.reply(resp.error_text(why))
+
+    def execute_add(self, words: list[bytes], connection: ServerConnection) -> None:
+        try:
+            call = resp.read_add(words)
+        except resp.CallError as error:
+            return self.refuse_call(str(error), connection)
+        reply = self.state.add(call.name, call.amount, call.life, self.loop.time())
+        if isinstance(reply, Wait):
+            self.callers[reply.ticket] = connection.reply_later()
+            self.schedule_pump()
+        else:
+            connection.reply(resp.reply_text(reply))
+
+    def execute_statistics(self, words: list[bytes], connection: ServerConnection) -> None:
+        connection.reply(resp.bulk_text(json.dumps(self.statistics()).encode()))
+
+    def statistics(self) -> dict[str, Any]:
+        """Figures of the state and of the server."""
+        return {
+            **self.state.statistics(self.loop.time()),
+            "connections": len(self.connections),
+            "connections_refused": self.figures.connections_refused,
+            "connections_idle": self.figures.connections_idle,
+            "connections_slow": self.figures.connections_slow,
+            "calls_malformed": self.figures.calls_malformed,
+        }
+
+    # forwards
+
+    def schedule_pump(self) -> None:
+        """Sends what is due once the calls at hand are read, so that they share their forwards."""
+        if self.pump_soon is None:
+            self.pump_soon = self.loop.call_soon(self.pump)
+
+    def pump(self) -> None:
+        """Sends the forwards that are due and answers the calls that waited."""
+        self.pump_soon = None
+        while (forward := self.state.next_forward(self.loop.time())) is not None:
+            self.upstream.send(forward)
+        self.deliver_answers()
+
+    def forward_ended(self, forward: Forward, result: ForwardResult) -> None:
+        self.state.forward_ended(forward, result, self.loop.time())
+        self.deliver_answers()
+
+    def deliver_answers(self) -> None:
+        answered: dict[ServerConnection, None] = {}
+        for answer in self.state.take_answers():
+            caller = self.callers.pop(answer.ticket)
+            caller.reply.text = resp.reply_text(answer.reply)
+            answered[caller.connection] = None
+        for connection in answered:
+            connection.flush()
+
+    async def tick(self) -> None:
+        while True:
+            self.pump()
+            await asyncio.sleep(TICK)
+
+    async def close_idle(self) -> None:
+        while True:
+            await asyncio.sleep(IDLE_CHECK)
+            now = self.loop.time()
+            for connection in list(self.connections):
+                connection.close_if_idle(now)
--- /dev/null
+++ b/embersill/aggregator/state.py
@@ -0,0 +1,516 @@
+"""The names an aggregator holds and what it may answer and forward. Pure: no I/O, the clock is passed in.
+
+An entry's total is the sum of four parts: the last upstream total, the amount in flight, the amount not
+forwarded yet, and the doubtful amount of forwards that may or may not have been added.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections import OrderedDict, deque
+from dataclasses import asdict, dataclass, field
+from typing import Any
+
+from embersill.aggregator.messages import (
+    Answer,
+    Busy,
+    BusyReason,
+    Forward,
+    ForwardResult,
+    ForwardStatus,
+    Total,
+    Unknown,
+    Wait,
+)
+from embersill.aggregator.pacing import Backoff, TokenBucket
+
+LONGEST_LIFE = 60.0  # seconds: the protocol's bound on a name's life
+MOST_AMOUNT = 1e9  # of one call: the protocol's bound
+ZERO = 1e-9  # sums below this are rounding errors
+FALL_TOLERANCE = 1e-6  # part by which a total may be lower than expected: totals are exact to seven digits
+REFRESH_WEIGHT = 1e-3  # units that a wish for a fresh reading weighs against unforwarded amounts
+RANKED_SHARE = 4  # every so-many-th forward is of a known name, even while new names wait
+PROBES_PER_LEASE = 3.0  # calls in an idle lease that prove that upstream answers
+INDEX_SLACK = 1_000  # entries beyond the table that an index may hold before it is compacted
+PROBE_NAME = b"aggregator.probe"
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """Bounds and times, all in seconds."""
+
+    names: int = 100_000
+    waiting: int = 10_000
+    window: float = 0.1  # between two forwards of one name
+    upstream_calls: float = 200.0  # a second
+    in_flight: int = 64
+    lease: float = 1.0  # how old the proof that upstream answers may be
+    wait: float = 0.05  # how long a call waits for a new name's first total, unless it was forwarded
+    stale: float = 1.0  # age at which the reading of a name in use is refreshed
+
+
+@dataclass(slots=True)
+class Figures:
+    """Counts since the start."""
+
+    calls: int = 0
+    totals: int = 0
+    waits: int = 0
+    waits_unknown: int = 0
+    busy: dict[str, int] = field(default_factory=lambda: {reason.value: 0 for reason in BusyReason})
+    forwards: int = 0
+    forwards_by_status: dict[str, int] = field(
+        default_factory=lambda: {status.value: 0 for status in ForwardStatus}
+    )
+    probes: int = 0
+    names_evicted: int = 0
+    names_expired: int = 0
+    names_expired_unforwarded: int = 0
+    amount_expired: float = 0.0  # absolute amounts dropped with their names
+    amount_refused: float = 0.0  # absolute amounts that upstream called malformed
+    amount_doubtful: float = 0.0  # absolute amounts of forwards that may not have been added
+    totals_fallen: int = 0
+    results_unmatched: int = 0
+
+
+@dataclass(slots=True, eq=False)
+class Waiter:
+    """A call that waits for its name's first total."""
+
+    ticket: int
+    amount: float
+    deadline: float
+    entry: Entry
+    answered: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Entry:
+    """One name."""
+
+    name: bytes
+    expires: float
+    upstream_total: float | None = None  # None until the first reading
+    read_at: float = float("-inf")  # when the call of the last reading was sent
+    unforwarded: float = 0.0
+    unforwarded_since: float = 0.0
+    in_flight: Forward | None = None
+    doubtful: float = 0.0
+    wants_reading: bool = False
+    forwarded_at: float = float("-inf")
+    waiting: list[Waiter] = field(default_factory=list)  # their amounts are not forwarded yet
+    waiting_in_flight: list[Waiter] = field(default_factory=list)
+
+    def total(self) -> float:
+        """What this aggregator knows of the name."""
+        in_flight = self.in_flight.amount if self.in_flight is not None else 0.0
+        return (self.upstream_total or 0.0) + in_flight + self.unforwarded + self.doubtful
+
+    def needs_forward(self) -> bool:
+        """Whether there is something to tell or to ask upstream."""
+        return abs(self.unforwarded) > ZERO or self.wants_reading or bool(self.waiting)
+
+    def is_clean(self) -> bool:
+        """Whether the entry can go without a loss."""
+        return self.in_flight is None and not self.needs_forward()
+
+    def weight(self, now: float) -> float:
+        """The urgency of its forward: the amount times its age."""
+        return (abs(self.unforwarded) + REFRESH_WEIGHT) * (now - self.unforwarded_since + ZERO)
+
+
+class Aggregation:
+    """A bounded table of names. Answers to calls that waited gather in `answers`."""
+
+    def __init__(self, limits: Limits, now: float, seed: int | None = None) -> None:
+        self.limits = limits
+        self.figures = Figures()
+        self.answers: list[Answer] = []
+        self.draining = False
+        self.proved_at = float("-inf")  # when the last call that upstream answered with a total was sent
+        self.entries: dict[bytes, Entry] = {}
+        self.clean: OrderedDict[bytes, None] = OrderedDict()  # least recently used first
+        self.dirty: dict[bytes, Entry] = {}
+        self.expiries: list[tuple[float, int, Entry]] = []
+        self.waiters: deque[Waiter] = deque()  # by deadline
+        self.waiting_count = 0
+        self.new_names: deque[Entry] = deque()
+        self.ranked: list[Entry] = []  # the most urgent last
+        self.ranked_at = float("-inf")
+        self.in_flight: dict[int, tuple[Forward, Entry | None]] = {}  # no entry: a probe
+        self.bucket = TokenBucket(limits.upstream_calls, now)
+        self.backoff = Backoff(random.Random(seed))
+        self.sent_at = float("-inf")
+        self.next_number = 0
+
+    # calls from below
+
+    def add(self, name: bytes, amount: float, life: float, now: float) -> Total | Wait | Busy:
+        """Adds an amount to a name; `life` (seconds) is that of a new name."""
+        self.sweep(now)
+        self.figures.calls += 1
+        entry = self.entries.get(name)
+        refusal = self.refusal(entry, now)
+        if refusal is not None:
+            return self.busy(refusal)
+        if entry is None:
+            entry = self.open_entry(name, min(life, LONGEST_LIFE), now)
+        if entry.upstream_total is None:
+            return self.wait_for_total(entry, amount, now)
+        self.add_unforwarded(entry, amount, now)
+        if now - entry.read_at > self.limits.stale:
+            entry.wants_reading = True
+        self.file(entry)
+        self.figures.totals += 1
+        return Total(entry.total())
+
+    def refusal(self, entry: Entry | None, now: float) -> BusyReason | None:
+        """Why a call can't be taken now, if so. Makes room in a full table."""
+        if self.draining:
+            return BusyReason.DRAINING
+        if not self.has_lease(now):
+            return BusyReason.CUT_OFF
+        unread = entry is None or entry.upstream_total is None
+        if unread and self.waiting_count >= self.limits.waiting:
+            return BusyReason.TOO_MANY_WAITING
+        if entry is None and len(self.entries) >= self.limits.names and not self.evict():
+            return BusyReason.TABLE_FULL
+        return None
+
+    def has_lease(self, now: float) -> bool:
+        """Whether upstream has answered recently enough for totals to be told."""
+        return now - self.proved_at <= self.limits.lease
+
+    def busy(self, reason: BusyReason) -> Busy:
+        self.figures.busy[reason.value] += 1
+        return Busy(reason)
+
+    def add_unforwarded(self, entry: Entry, amount: float, now: float) -> None:
+        if not entry.needs_forward():
+            entry.unforwarded_since = now
+        entry.unforwarded += amount
+
+    def wait_for_total(self, entry: Entry, amount: float, now: float) -> Wait:
+        self.add_unforwarded(entry, amount, now)
+        waiter = Waiter(self.number(), amount, now + self.limits.wait, entry)
+        entry.waiting.append(waiter)
+        self.waiters.append(waiter)
+        self.waiting_count += 1
+        self.figures.waits += 1
+        self.file(entry)
+        return Wait(waiter.ticket)
+
+    def number(self) -> int:
+        self.next_number += 1
+        return self.next_number
+
+    # the table
+
+    def open_entry(self, name: bytes, life: float, now: float) -> Entry:
+        entry = Entry(name, now + life)
+        self.entries[name] = entry
+        heapq.heappush(self.expiries, (entry.expires, self.number(), entry))
+        self.new_names.append(entry)
+        self.compact()
+        return entry
+
+    def compact(self) -> None:
+        """Forgets entries that left the table early, once they are the most of an index."""
+        most = 2 * len(self.entries) + INDEX_SLACK
+        if len(self.expiries) > most:
+            self.expiries = [kept for kept in self.expiries if self.holds(kept[2])]
+            heapq.heapify(self.expiries)
+        if len(self.new_names) > most:
+            self.new_names = deque(entry for entry in self.new_names if self.holds(entry))
+
+    def holds(self, entry: Entry) -> bool:
+        return self.entries.get(entry.name) is entry
+
+    def file(self, entry: Entry) -> None:
+        """Puts an entry in the index it belongs to, as the most recently used."""
+        if not self.holds(entry):
+            return  # it has left the table
+        self.clean.pop(entry.name, None)
+        if entry.is_clean():
+            self.dirty.pop(entry.name, None)
+            self.clean[entry.name] = None
+        else:
+            self.dirty[entry.name] = entry
+
+    def evict(self) -> bool:
+        """Drops the least recently used entry that holds no amount; False if there is none."""
+        if not self.clean:
+            return False
+        name, _ = self.clean.popitem(last=False)
+        del self.entries[name]
+        self.figures.names_evicted += 1
+        return True
+
+    def remove(self, entry: Entry) -> None:
+        if self.holds(entry):
+            del self.entries[entry.name]
+            self.clean.pop(entry.name, None)
+            self.dirty.pop(entry.name, None)
+
+    def sweep(self, now: float) -> None:
+        """Ends names and waits whose times are over."""
+        while self.expiries and self.expiries[0][0] <= now:
+            entry = heapq.heappop(self.expiries)[2]
+            if self.holds(entry):
+                self.expire(entry)
+        while self.waiters and (self.waiters[0].deadline <= now or self.waiters[0].answered):
+            self.end_wait(self.waiters.popleft())
+
+    def expire(self, entry: Entry) -> None:
+        self.remove(entry)
+        self.figures.names_expired += 1
+        self.withdraw_waiting(entry, BusyReason.NAME_EXPIRED)
+        if abs(entry.unforwarded) > ZERO:
+            self.drop_unforwarded(entry)
+
+    def drop_unforwarded(self, entry: Entry) -> None:
+        """Gives up what can no longer be forwarded within the name's life."""
+        self.figures.names_expired_unforwarded += 1
+        self.figures.amount_expired += abs(entry.unforwarded)
+        entry.unforwarded = 0.0
+
+    # waits
+
+    def end_wait(self, waiter: Waiter) -> None:
+        """Takes back a waiting call's amount, unless it is in flight: that one gets the forward's result."""
+        entry = waiter.entry
+        if waiter.answered or waiter not in entry.waiting:
+            return
+        entry.waiting.remove(waiter)
+        self.withdraw(waiter, BusyReason.WAIT_ENDED)
+        if entry.in_flight is None and not entry.needs_forward():
+            self.remove(entry)
+        else:
+            self.file(entry)
+
+    def withdraw(self, waiter: Waiter, reason: BusyReason) -> None:
+        entry = waiter.entry
+        entry.unforwarded -= waiter.amount
+        if abs(entry.unforwarded) <= ZERO:
+            entry.unforwarded = 0.0
+        self.answer(waiter, self.busy(reason))
+
+    def withdraw_waiting(self, entry: Entry, reason: BusyReason) -> None:
+        waiting, entry.waiting = entry.waiting, []
+        for waiter in waiting:
+            self.withdraw(waiter, reason)
+
+    def answer(self, waiter: Waiter, reply: Total | Busy | Unknown) -> None:
+        waiter.answered = True
+        self.waiting_count -= 1
+        self.answers.append(Answer(waiter.ticket, reply))
+
+    def take_answers(self) -> list[Answer]:
+        """The answers to calls that waited, each once."""
+        answers, self.answers = self.answers, []
+        return answers
+
+    # forwards
+
+    def next_forward(self, now: float) -> Forward | None:
+        """The next call to make upstream, if one is due and within the budget."""
+        self.sweep(now)
+        if now < self.backoff.until or len(self.in_flight) >= self.limits.in_flight:
+            return None
+        if not self.bucket.has_token(now):
+            return None
+        entry = self.pick(now)
+        if entry is not None:
+            self.bucket.take()
+            return self.begin_forward(entry, now)
+        if self.probe_is_due(now):
+            self.bucket.take()
+            return self.begin_probe(now)
+        return None
+
+    def pick(self, now: float) -> Entry | None:
+        """New names first, with a share kept for known names, the most urgent of them first."""
+        ranked_turn = self.figures.forwards % RANKED_SHARE == RANKED_SHARE - 1
+        if ranked_turn:
+            return self.pick_ranked(now) or self.pick_new()
+        return self.pick_new() or self.pick_ranked(now)
+
+    def pick_new(self) -> Entry | None:
+        while self.new_names:
+            entry = self.new_names.popleft()
+            if self.is_forwardable(entry):
+                return entry
+        return None
+
+    def pick_ranked(self, now: float) -> Entry | None:
+        age = now - self.ranked_at
+        if age >= self.limits.window or not self.ranked and age >= self.limits.window / 2:
+            self.rank(now)
+        while self.ranked:
+            entry = self.ranked.pop()
+            if self.is_forwardable(entry):
+                return entry
+        return None
+
+    def is_forwardable(self, entry: Entry) -> bool:
+        return self.holds(entry) and entry.in_flight is None and entry.needs_forward()
+
+    def rank(self, now: float) -> None:
+        """Orders the most urgent of the entries whose window is over, as many as may go in a window."""
+        self.ranked_at = now
+        window_over = now if self.draining else now - self.limits.window
+        due = [e for e in self.dirty.values() if e.in_flight is None and e.forwarded_at <= window_over]
+        most = int(self.limits.upstream_calls * self.limits.window) + self.limits.in_flight
+        self.ranked = heapq.nlargest(most, due, key=lambda entry: entry.weight(now))
+        self.ranked.reverse()
+
+    def begin_forward(self, entry: Entry, now: float) -> Forward:
+        amount = max(-MOST_AMOUNT, min(MOST_AMOUNT, entry.unforwarded))
+        life_ms = max(1, round((entry.expires - now) * 1000.0))
+        forward = Forward(self.number(), entry.name, amount, life_ms, now)
+        entry.unforwarded -= amount
+        entry.unforwarded_since = now
+        entry.wants_reading = False
+        entry.in_flight = forward
+        entry.forwarded_at = now
+        entry.waiting_in_flight, entry.waiting = entry.waiting, []
+        self.register(forward, entry)
+        self.figures.forwards += 1
+        self.file(entry)
+        return forward
+
+    def register(self, forward: Forward, entry: Entry | None) -> None:
+        self.in_flight[forward.number] = (forward, entry)
+        self.sent_at = forward.sent_at
+
+    def probe_is_due(self, now: float) -> bool:
+        return now - self.sent_at >= self.limits.lease / PROBES_PER_LEASE
+
+    def begin_probe(self, now: float) -> Forward:
+        """A call that adds nothing, to learn whether upstream answers."""
+        forward = Forward(self.number(), PROBE_NAME, 0.0, round(LONGEST_LIFE * 1000), now)
+        self.register(forward, None)
+        self.figures.probes += 1
+        return forward
+
+    def forward_ended(self, forward: Forward, result: ForwardResult, now: float) -> None:
+        """Takes in the end of a forward; a second one for the same forward changes nothing."""
+        _, entry = self.in_flight.get(forward.number, (None, None))
+        if self.in_flight.pop(forward.number, None) is None:
+            self.figures.results_unmatched += 1
+            return
+        self.figures.forwards_by_status[result.status.value] += 1
+        if result.status is ForwardStatus.ADDED:
+            self.backoff.succeeded()
+            self.proved_at = max(self.proved_at, forward.sent_at)
+        elif result.status is not ForwardStatus.ERROR:
+            self.backoff.failed(now)
+        if entry is not None:
+            self.settle(entry, forward, result, now)
+        self.sweep(now)
+
+    def settle(self, entry: Entry, forward: Forward, result: ForwardResult, now: float) -> None:
+        entry.in_flight = None
+        match result.status:
+            case ForwardStatus.ADDED:
+                self.take_total(entry, forward, result.total)
+            case ForwardStatus.UNKNOWN:
+                self.doubt(entry, forward, now)
+            case ForwardStatus.ERROR:
+                self.refuse(entry, forward, now)
+            case ForwardStatus.BUSY | ForwardStatus.NO_CONNECTION:
+                self.put_back(entry, forward, now)
+        self.file(entry)
+
+    def take_total(self, entry: Entry, forward: Forward, total: float) -> None:
+        """An upstream total is true, also where it is lower than it should be."""
+        if entry.upstream_total is not None:
+            expected = entry.upstream_total + forward.amount
+            if total < expected - FALL_TOLERANCE * max(1.0, abs(expected)):
+                self.figures.totals_fallen += 1
+        entry.upstream_total = total
+        entry.read_at = forward.sent_at
+        entry.doubtful = 0.0
+        entry.wants_reading = False
+        answered = entry.waiting_in_flight + entry.waiting
+        entry.waiting_in_flight, entry.waiting = [], []
+        for waiter in answered:
+            self.answer(waiter, Total(entry.total()))
+
+    def doubt(self, entry: Entry, forward: Forward, now: float) -> None:
+        """The amount is not sent again: it may yet be added. The next total tells; until then a positive
+        amount counts as added and a negative one as not, so that no room is made by a guess."""
+        entry.doubtful += max(0.0, forward.amount)
+        entry.wants_reading = True
+        self.figures.amount_doubtful += abs(forward.amount)
+        waiting, entry.waiting_in_flight = entry.waiting_in_flight, []
+        for waiter in waiting:
+            self.figures.waits_unknown += 1
+            self.answer(waiter, Unknown())
+        if entry.upstream_total is None:
+            self.retry_new_name(entry, now)
+
+    def refuse(self, entry: Entry, forward: Forward, now: float) -> None:
+        """Upstream takes this call for malformed; it would again, so the amount is dropped."""
+        self.figures.amount_refused += abs(forward.amount)
+        waiting, entry.waiting_in_flight = entry.waiting_in_flight, []
+        for waiter in waiting:
+            self.answer(waiter, self.busy(BusyReason.WAIT_ENDED))
+        if entry.upstream_total is None:
+            self.retry_new_name(entry, now)
+
+    def put_back(self, entry: Entry, forward: Forward, now: float) -> None:
+        """Nothing was added: the amount waits for its next turn."""
+        entry.unforwarded += forward.amount
+        entry.wants_reading = entry.wants_reading or abs(forward.amount) <= ZERO
+        entry.waiting = entry.waiting_in_flight + entry.waiting
+        entry.waiting_in_flight = []
+        if not self.holds(entry):
+            self.expire_late(entry)
+        elif entry.upstream_total is None:
+            self.retry_new_name(entry, now)
+
+    def retry_new_name(self, entry: Entry, now: float) -> None:
+        """Lets a name without a total try again, or go if nobody waits for it."""
+        overdue = [waiter for waiter in entry.waiting if waiter.deadline <= now]
+        entry.waiting = [waiter for waiter in entry.waiting if waiter.deadline > now]
+        for waiter in overdue:
+            self.withdraw(waiter, BusyReason.WAIT_ENDED)
+        if entry.needs_forward():
+            self.new_names.append(entry)
+        else:
+            self.remove(entry)
+
+    def expire_late(self, entry: Entry) -> None:
+        """The name's life ended while its forward was out."""
+        self.withdraw_waiting(entry, BusyReason.NAME_EXPIRED)
+        if abs(entry.unforwarded) > ZERO:
+            self.drop_unforwarded(entry)
+
+    # the end, and what is told of the state
+
+    def drain(self) -> None:
+        """Takes no more calls; what is held may go without waiting for its window."""
+        self.draining = True
+        self.ranked = []
+        self.ranked_at = float("-inf")
+
+    def is_drained(self) -> bool:
+        """Whether nothing is left to forward."""
+        return not self.dirty and not any(entry is not None for _, entry in self.in_flight.values())
+
+    def statistics(self, now: float) -> dict[str, Any]:
+        """Figures since the start, and gauges of this moment."""
+        unforwarded = [e for e in self.dirty.values() if abs(e.unforwarded) > ZERO]
+        oldest = max((now - e.unforwarded_since for e in unforwarded), default=0.0)
+        return {
+            **asdict(self.figures),
+            "names": len(self.entries),
+            "names_unforwarded": len(unforwarded),
+            "unforwarded": sum(abs(e.unforwarded) for e in unforwarded),
+            "oldest_unforwarded_ms": round(oldest * 1000),
+            "waiting": self.waiting_count,
+            "in_flight": len(self.in_flight),
+            "has_lease": self.has_lease(now),
+        }
--- /dev/null
+++ b/tests/aggregators.py
@@ -0,0 +1,181 @@
+"""Counter models and callers for the aggregator's tests."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+
+import hiredis
+
+from embersill.aggregator.messages import Answer, Forward, ForwardResult, ForwardStatus, Total
+from embersill.aggregator.resp import add_text
+from embersill.aggregator.server import Server, ServerOptions
+from embersill.aggregator.state import PROBE_NAME, Aggregation, Limits
+from embersill.aggregator.upstream import UpstreamOptions
+from embersill.lab.peers import HOST
+from tests.peers import SOON
+
+LIFE = 60.0  # seconds: of names whose end is not what a test is about
+
+
+class CounterModel:
+    """The counter in memory: names with totals and lives."""
+
+    def __init__(self) -> None:
+        self.totals: dict[bytes, float] = {}
+        self.ends: dict[bytes, float] = {}
+        self.calls = 0
+
+    def add(self, name: bytes, amount: float, life_ms: int, now: float) -> float:
+        self.calls += 1
+        if self.ends.get(name, 0.0) <= now:
+            self.totals[name] = 0.0
+            self.ends[name] = now + min(life_ms, 60_000) / 1000.0
+        self.totals[name] += amount
+        return self.totals[name]
+
+    def serve(self, forward: Forward, now: float) -> ForwardResult:
+        return ForwardResult(
+            ForwardStatus.ADDED, self.add(forward.name, forward.amount, forward.life_ms, now)
+        )
+
+    def restart_empty(self) -> None:
+        self.totals.clear()
+        self.ends.clear()
+
+
+class Bench:
+    """A state with a clock and a counter that answers at once unless a test takes the forwards itself."""
+
+    def __init__(self, **limits: Any) -> None:
+        self.now = 100.0
+        self.counter = CounterModel()
+        self.state = Aggregation(Limits(**limits), self.now, seed=1)
+        self.sent: list[Forward] = []
+
+    def next(self) -> Forward:
+        forward = self.state.next_forward(self.now)
+        assert forward is not None
+        return forward
+
+    def end(self, forward: Forward, status: ForwardStatus, total: float = 0.0) -> list[Answer]:
+        self.state.forward_ended(forward, ForwardResult(status, total), self.now)
+        return self.state.take_answers()
+
+    def pump(self) -> list[Answer]:
+        """Sends all that is due and has the counter answer it."""
+        for _ in range(100_000):
+            forward = self.state.next_forward(self.now)
+            if forward is None:
+                return self.state.take_answers()
+            self.sent.append(forward)
+            self.state.forward_ended(forward, self.counter.serve(forward, self.now), self.now)
+        raise AssertionError("forwards without end")
+
+    def run(self, seconds: float, step: float = 0.01) -> list[Answer]:
+        """Lets time pass with a counter that answers."""
+        answers: list[Answer] = []
+        for _ in range(round(seconds / step)):
+            self.now += step
+            answers += self.pump()
+        return answers
+
+    def run_until_sent(self) -> None:
+        """Lets time pass until a forward may go."""
+        self.now = max(self.now + 0.2, self.state.backoff.until)
+
+    def add(self, name: str, amount: float = 1.0, life: float = LIFE) -> object:
+        return self.state.add(name.encode(), amount, life, self.now)
+
+    def known(self, name: str, amount: float = 0.0, life: float = LIFE) -> None:
+        """Has the name read, with the lease fresh."""
+        self.pump()
+        self.add(name, amount, life)
+        assert self.pump()
+        assert isinstance(self.add(name, 0.0), Total)
+
+    def names_sent(self) -> list[bytes]:
+        return [f.name for f in self.sent if f.name != PROBE_NAME]
+
+
+def prime(bench: Bench) -> None:
+    """Gives the state its lease."""
+    bench.pump()
+    assert bench.state.has_lease(bench.now)
+
+
+class CallerPeer:
+    """A gateway's connection: calls are written and answers read in their order."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer = reader, writer
+        self.parser = hiredis.Reader()
+
+    def write(self, *words: str) -> None:
+        self.writer.write(hiredis.pack_command(tuple(words)))  # type: ignore[arg-type]
+
+    def write_add(self, name: str, amount: float, life_ms: int = 60_000) -> None:
+        self.writer.write(add_text(name.encode(), amount, life_ms))
+
+    async def read(self) -> Any:
+        """The next answer; EOFError once the connection is closed."""
+        async with asyncio.timeout(SOON):
+            while (reply := self.parser.gets()) is False:
+                data = await self.reader.read(65536)
+                if not data:
+                    raise EOFError
+                self.parser.feed(data)
+        return reply
+
+    async def add(self, name: str, amount: float, life_ms: int = 60_000) -> float | str:
+        """The total, or the first word of an error, or "none" for an answer without a number."""
+        self.write_add(name, amount, life_ms)
+        return read_value(await self.read())
+
+    async def statistics(self) -> dict[str, Any]:
+        self.write("AGG.STATS")
+        loaded: dict[str, Any] = json.loads(await self.read())
+        return loaded
+
+
+def read_value(reply: Any) -> float | str:
+    if isinstance(reply, hiredis.ReplyError):
+        return str(reply).split(" ")[0]
+    return "none" if reply is None else float(reply)
+
+
+@asynccontextmanager
+async def caller(port: int) -> AsyncIterator[CallerPeer]:
+    reader, writer = await asyncio.open_connection(HOST, port)
+    try:
+        yield CallerPeer(reader, writer)
+    finally:
+        writer.transport.abort()
+
+
+@asynccontextmanager
+async def serving(
+    upstream: str, options: dict[str, Any] | None = None, patience: float = 1.0, port: int = 0, **limits: Any
+) -> AsyncIterator[Server]:
+    """An aggregator in this loop, with its lease unless the upstream is down."""
+    host, _, upstream_port = upstream.rpartition(":")
+    made = Server(
+        ServerOptions(HOST, port, **(options or {})),
+        Limits(**{"wait": SOON, "lease": SOON, **limits}),
+        UpstreamOptions(host, int(upstream_port), patience),
+        seed=1,
+    )
+    await made.start()
+    try:
+        yield made
+    finally:
+        await made.stop()
+
+
+async def until_lease(server: Server, held: bool = True) -> None:
+    async with asyncio.timeout(SOON):
+        while server.state.has_lease(server.loop.time()) is not held:
+            await asyncio.sleep(0.005)
