--- a/tests/aggregators.py
+++ b/tests/aggregators.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import sys
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import Any
@@ -16,6 +17,7 @@
 from embersill.aggregator.state import PROBE_NAME, Aggregation, Limits
 from embersill.aggregator.upstream import UpstreamOptions
 from embersill.lab.peers import HOST
+from tests.lists import ROOT
 from tests.peers import SOON
 
 LIFE = 60.0  # seconds: of names whose end is not what a test is about
@@ -175,6 +177,40 @@
         await made.stop()
 
 
+class AggregatorProcess:
+    """The program as a process of its own."""
+
+    def __init__(self, *options: str) -> None:
+        self.options = options
+        self.port = 0
+        self.child: asyncio.subprocess.Process
+
+    async def start(self) -> None:
+        self.child = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "embersill.aggregator", *self.options, cwd=ROOT,
+            stderr=asyncio.subprocess.PIPE,
+        )
+        assert self.child.stderr is not None
+        async with asyncio.timeout(SOON):
+            line = (await self.child.stderr.readline()).decode()
+        assert "listening on" in line, line
+        self.port = int(line.rpartition(":")[2])
+
+    async def end(self, number: int) -> str:
+        """Its log, once it has ended on this signal."""
+        self.child.send_signal(number)
+        async with asyncio.timeout(SOON):
+            _, log = await self.child.communicate()
+        return log.decode()
+
+
+async def until_ready(peer: CallerPeer) -> None:
+    """Waits for the lease of an aggregator in another process."""
+    async with asyncio.timeout(SOON):
+        while not (await peer.statistics())["has_lease"]:
+            await asyncio.sleep(0.01)
+
+
 async def until_lease(server: Server, held: bool = True) -> None:
     async with asyncio.timeout(SOON):
         while server.state.has_lease(server.loop.time()) is not held:
--- a/tests/test_aggregator_server.py
+++ b/tests/test_aggregator_server.py
@@ -15,7 +15,7 @@
 from embersill.aggregator.server import MOST_CALL_BYTES, MOST_UNANSWERED
 from embersill.aggregator.upstream import Upstream, UpstreamOptions
 from embersill.lab.peers import HOST, free_port, read_call, reset
-from tests.aggregators import CallerPeer, caller, read_value, serving, until_lease
+from tests.aggregators import AggregatorProcess, caller, read_value, serving, until_lease, until_ready
 from tests.lists import ROOT, run, served
 from tests.peers import SOON, CounterPeer
 
@@ -389,38 +389,6 @@
     run(test)
 
 
-class AggregatorProcess:
-    """The program as a process of its own."""
-
-    def __init__(self, *options: str) -> None:
-        self.options = options
-        self.port = 0
-        self.child: asyncio.subprocess.Process
-
-    async def start(self) -> None:
-        self.child = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "embersill.aggregator", *self.options, cwd=ROOT,
-            stderr=asyncio.subprocess.PIPE,
-        )
-        assert self.child.stderr is not None
-        async with asyncio.timeout(SOON):
-            line = (await self.child.stderr.readline()).decode()
-        assert "listening on" in line, line
-        self.port = int(line.rpartition(":")[2])
-
-    async def end(self, number: int) -> str:
-        self.child.send_signal(number)
-        async with asyncio.timeout(SOON):
-            _, log = await self.child.communicate()
-        return log.decode()
-
-
-async def lease(peer: CallerPeer) -> None:
-    async with asyncio.timeout(SOON):
-        while not (await peer.statistics())["has_lease"]:
-            await asyncio.sleep(0.01)
-
-
 def test_the_program_forwards_what_it_holds_on_sigterm() -> None:
     async def test() -> None:
         counter = await started()
@@ -429,7 +397,7 @@
         )
         await program.start()
         async with caller(program.port) as one:
-            await lease(one)
+            await until_ready(one)
             assert await one.add("a.1", 1.0) == 1.0
             assert await one.add("a.1", 6.0) == 7.0
             log = await program.end(signal.SIGTERM)
@@ -449,7 +417,7 @@
         )
         await program.start()
         async with caller(program.port) as one:
-            await lease(one)
+            await until_ready(one)
             await one.add("a.1", 1.0)
             counter.free.clear()
             await one.add("a.1", 6.0)
@@ -478,7 +446,7 @@
             ending = asyncio.create_task(program.end(signal.SIGTERM))
             await directory.until(lambda status: status["draining"] == 1)
             async with caller(program.port) as one:
-                await lease(one)
+                await until_ready(one)
                 assert isinstance(await one.add("a.1", 1.0), float)  # calls are taken until gateways know
             await ending
             assert (await directory.list())["instances"] == []
