Serve the longest-waiting name at every second turn, so that none starves under load

Largest amount times age first let hot names hold back small ones without bound while the budget was short.

--- a/embersill/aggregator/state.py
+++ b/embersill/aggregator/state.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import heapq
+import itertools
 import random
 from collections import OrderedDict, deque
 from dataclasses import asdict, dataclass, field
@@ -30,7 +31,7 @@
 ZERO = 1e-9  # sums below this are rounding errors
 FALL_TOLERANCE = 1e-6  # part by which a total may be lower than expected: totals are exact to seven digits
 REFRESH_WEIGHT = 1e-3  # units that a wish for a fresh reading weighs against unforwarded amounts
-RANKED_SHARE = 4  # every so-many-th forward is of a known name, even while new names wait
+KNOWN_SHARE = 4  # every so-many-th forward is of a known name, even while new names wait
 PROBES_PER_LEASE = 3.0  # calls in an idle lease that prove that upstream answers
 INDEX_SLACK = 1_000  # entries beyond the table that an index may hold before it is compacted
 PROBE_NAME = b"aggregator.probe"
@@ -131,13 +132,14 @@
         self.proved_at = float("-inf")  # when the last call that upstream answered with a total was sent
         self.entries: dict[bytes, Entry] = {}
         self.clean: OrderedDict[bytes, None] = OrderedDict()  # least recently used first
-        self.dirty: dict[bytes, Entry] = {}
+        self.dirty: dict[bytes, Entry] = {}  # to be forwarded, or in flight: those that wait longest first
         self.expiries: list[tuple[float, int, Entry]] = []
         self.waiters: deque[Waiter] = deque()  # by deadline
         self.waiting_count = 0
         self.new_names: deque[Entry] = deque()
         self.ranked: list[Entry] = []  # the most urgent last
         self.ranked_at = float("-inf")
+        self.oldest_turn = False
         self.in_flight: dict[int, tuple[Forward, Entry | None]] = {}  # no entry: a probe
         self.bucket = TokenBucket(limits.upstream_calls, now)
         self.backoff = Backoff(random.Random(seed))
@@ -330,11 +332,30 @@
         return None
 
     def pick(self, now: float) -> Entry | None:
-        """New names first, with a share kept for known names, the most urgent of them first."""
-        ranked_turn = self.figures.forwards % RANKED_SHARE == RANKED_SHARE - 1
-        if ranked_turn:
-            return self.pick_ranked(now) or self.pick_new()
-        return self.pick_new() or self.pick_ranked(now)
+        """New names first, with a share kept for known names."""
+        known_turn = self.figures.forwards % KNOWN_SHARE == KNOWN_SHARE - 1
+        if known_turn:
+            return self.pick_known(now) or self.pick_new()
+        return self.pick_new() or self.pick_known(now)
+
+    def pick_known(self, now: float) -> Entry | None:
+        """By turns the most urgent name and the one that has waited longest, so that none starves."""
+        if self.oldest_turn:
+            entry = self.pick_oldest(now) or self.pick_ranked(now)
+        else:
+            entry = self.pick_ranked(now) or self.pick_oldest(now)
+        if entry is not None:
+            self.oldest_turn = not self.oldest_turn
+        return entry
+
+    def pick_oldest(self, now: float) -> Entry | None:
+        for entry in itertools.islice(self.dirty.values(), self.limits.in_flight + 1):
+            if entry.in_flight is None and entry.needs_forward() and self.window_is_over(entry, now):
+                return entry
+        return None
+
+    def window_is_over(self, entry: Entry, now: float) -> bool:
+        return self.draining or now - entry.forwarded_at >= self.limits.window
 
     def pick_new(self) -> Entry | None:
         while self.new_names:
@@ -349,7 +370,7 @@
             self.rank(now)
         while self.ranked:
             entry = self.ranked.pop()
-            if self.is_forwardable(entry):
+            if self.is_forwardable(entry) and self.window_is_over(entry, now):
                 return entry
         return None
 
@@ -359,8 +380,7 @@
     def rank(self, now: float) -> None:
         """Orders the most urgent of the entries whose window is over, as many as may go in a window."""
         self.ranked_at = now
-        window_over = now if self.draining else now - self.limits.window
-        due = [e for e in self.dirty.values() if e.in_flight is None and e.forwarded_at <= window_over]
+        due = [e for e in self.dirty.values() if e.in_flight is None and self.window_is_over(e, now)]
         most = int(self.limits.upstream_calls * self.limits.window) + self.limits.in_flight
         self.ranked = heapq.nlargest(most, due, key=lambda entry: entry.weight(now))
         self.ranked.reverse()
@@ -377,6 +397,7 @@
         entry.waiting_in_flight, entry.waiting = entry.waiting, []
         self.register(forward, entry)
         self.figures.forwards += 1
+        self.dirty.pop(entry.name, None)  # its turn as the oldest comes anew
         self.file(entry)
         return forward
 
--- a/tests/test_aggregator_orders.py
+++ b/tests/test_aggregator_orders.py
@@ -30,6 +30,15 @@
 OLDEST = PATIENCE + BACKOFF_LONGEST + 2 * LIMITS.window + 3 * STEP  # of an amount, if upstream answers
 LOSS_SPAN = OLDEST + LIMITS.lease  # a loss is of calls that were told within this
 LONGEST_RUN = 50.0  # seconds: lasting names live for 60
+CALLS = st.lists(
+    st.tuples(
+        st.integers(0, 4),  # the gateway
+        st.sampled_from((LASTING[0], LASTING[0], *LASTING, SHORT)),
+        st.sampled_from((1, 1, -1)),
+    ),
+    min_size=1,
+    max_size=4,
+)
 
 
 def digits(total: float) -> dict[int, int]:
@@ -117,11 +126,17 @@
 
     # what gateways do
 
-    @rule(
-        gateway=st.integers(0, 4),
-        name=st.sampled_from((*LASTING, SHORT)),
-        sign=st.sampled_from((1, 1, -1)),
-    )
+    @rule(calls=CALLS)
+    def gateways_call(self, calls: list[tuple[int, str, int]]) -> None:
+        for call in calls:
+            self.gateway_calls(*call)
+
+    @rule(calls=CALLS, seconds=st.sampled_from((0.12, 0.3)))
+    def gateways_call_and_a_window_ends(self, calls: list[tuple[int, str, int]], seconds: float) -> None:
+        """What was called is in flight afterwards, where upstream is not silent for too long."""
+        self.gateways_call(calls)
+        self.pass_time(seconds, flowing=False)
+
     def gateway_calls(self, gateway: int, name: str, sign: int) -> None:
         node = self.lower[gateway % self.gateways % 2]
         issued = self.issued[name]
--- a/tests/test_aggregator_state.py
+++ b/tests/test_aggregator_state.py
@@ -417,22 +417,52 @@
     bench.next()
 
 
-def test_the_largest_amount_times_age_goes_first() -> None:
+def test_known_names_go_by_turns_by_amount_times_age_and_by_age() -> None:
     bench = Bench(upstream_calls=10.0, window=0.1, lease=60.0)
     prime(bench)
-    for name in ("small.1", "large.1", "old.1"):
+    for number in range(1, 7):
         bench.run(0.5)
-        bench.known(name)
+        bench.known(f"c{number}.1")
     bench.run(0.5)
     bench.state.bucket.tokens = 0.0
-    bench.add("old.1", 4.0)
-    bench.now += 0.08
-    bench.add("small.1", 1.0)
-    bench.add("large.1", 9.0)
-    bench.now += 0.02
+    bench.state.oldest_turn = False
+    for number in range(1, 7):
+        bench.add(f"c{number}.1", float(number))
+    bench.sent.clear()
+    bench.run(1.0)
+    assert [f.amount for f in bench.sent if f.amount] == [6.0, 1.0, 5.0, 2.0, 4.0, 3.0]
+
+
+def test_age_outweighs_amount_in_time() -> None:
+    bench = Bench(upstream_calls=10.0, window=0.1, lease=60.0)
+    prime(bench)
+    for name in ("old.1", "young.1"):
+        bench.run(0.5)
+        bench.known(name)
+    bench.run(0.5)
+    bench.state.bucket.tokens = -9.0  # none for a second
+    bench.state.oldest_turn = False
+    bench.add("old.1", 1.0)
+    bench.now += 0.85
+    bench.add("young.1", 3.0)
     bench.sent.clear()
     bench.run(0.5)
-    assert bench.names_sent() == [b"old.1", b"large.1", b"small.1"]
+    assert bench.names_sent() == [b"old.1", b"young.1"]
+
+
+def test_large_amounts_do_not_starve_a_small_one() -> None:
+    bench = Bench(upstream_calls=100.0, window=0.1, lease=60.0, wait=10.0)
+    prime(bench)
+    for number in range(30):
+        bench.add(f"large{number}.1", 1.0)
+    bench.add("small.1", 0.0)
+    bench.run(1.0)
+    bench.add("small.1", 1e-3)
+    for _ in range(70):  # twice the names' number over the budget's share for the oldest, with some room
+        for number in range(30):
+            bench.add(f"large{number}.1", 1e6)
+        bench.run(0.01)
+    assert bench.counter.totals[b"small.1"] == 1e-3
 
 
 def test_new_names_do_not_starve_known_ones() -> None:
