--- a/tests/test_aggregator_state.py
+++ b/tests/test_aggregator_state.py
@@ -308,6 +308,19 @@
     assert bench.state.backoff.failures == 0
 
 
+def test_nothing_is_sent_in_a_pause() -> None:
+    bench = Bench(lease=0.03)
+    bench.known("a.1")
+    bench.add("a.1", 1.0)
+    bench.run_until_sent()
+    bench.end(bench.next(), ForwardStatus.NO_CONNECTION)
+    began, until = bench.now, bench.state.backoff.until
+    while bench.now < until:
+        assert bench.state.next_forward(bench.now) is None
+        bench.now += (until - began) / 10
+    assert bench.state.next_forward(bench.now) is not None
+
+
 def test_pauses_differ_between_aggregators() -> None:
     benches = [Bench() for _ in range(20)]
     for seed, bench in enumerate(benches):
