--- a/tests/measure_aggregator.py
+++ b/tests/measure_aggregator.py
@@ -9,12 +9,14 @@
 import argparse
 import asyncio
 import collections
+import functools
 import json
 import os
 import pathlib
+import random
 import time
 from collections.abc import AsyncIterator
-from contextlib import AsyncExitStack, asynccontextmanager
+from contextlib import asynccontextmanager
 from typing import cast
 
 import hiredis
@@ -66,10 +68,10 @@
 class MeasuredCaller(asyncio.Protocol):
     """A gateway's connection that keeps so many calls out, or is paced from outside."""
 
-    def __init__(self, names: list[bytes], depth: int) -> None:
-        self.texts = [add_text(name, 1.0, 60_000) for name in names]
+    def __init__(self, texts: list[bytes], depth: int, seed: int) -> None:
+        self.texts = texts
         self.depth = depth
-        self.next = 0
+        self.random = random.Random(seed)
         self.running = True
         self.replies: collections.Counter[str] = collections.Counter()
         self.reader = hiredis.Reader()
@@ -79,9 +81,7 @@
         self.send(self.depth)
 
     def send(self, many: int) -> None:
-        texts = [self.texts[(self.next + n) % len(self.texts)] for n in range(many)]
-        self.next += many
-        self.transport.write(b"".join(texts))
+        self.transport.write(b"".join(self.random.choices(self.texts, k=many)))
 
     def data_received(self, data: bytes) -> None:
         self.reader.feed(data)
@@ -112,11 +112,19 @@
         counter.close()
 
 
-async def connect(port: int, names: list[bytes], depth: int) -> MeasuredCaller:
-    _, protocol = await asyncio.get_running_loop().create_connection(
-        lambda: MeasuredCaller(names, depth), HOST, port
-    )
-    return protocol
+async def connect(port: int, texts: list[bytes], depth: int, many: int) -> list[MeasuredCaller]:
+    """So many connections, each of which calls names at random."""
+    loop = asyncio.get_running_loop()
+    made = []
+    for seed in range(many):
+        caller_of_seed = functools.partial(MeasuredCaller, texts, depth, seed)
+        _, protocol = await loop.create_connection(caller_of_seed, HOST, port)
+        made.append(protocol)
+    return made
+
+
+def add_texts(names: list[bytes]) -> list[bytes]:
+    return [add_text(name, 1.0, 60_000) for name in names]
 
 
 def customer_names(many: int, suffix: str = "1") -> list[bytes]:
@@ -145,7 +153,7 @@
 async def play_calls(
     made: AggregatorProcess, names: list[bytes], connections: int, depth: int, play: int
 ) -> None:
-    callers = [await connect(made.port, names[n::connections], depth) for n in range(connections)]
+    callers = await connect(made.port, add_texts(names), depth, connections)
     upstream_before, cpu_before = MeasuredCounter.calls, cpu_seconds(made.child.pid)
     began = time.monotonic()
     before = sum(peer.replies.total() for peer in callers)
@@ -182,9 +190,8 @@
     """One aggregator's part of the target size, all names new at the start."""
     names = customer_names(NAMES, "epoch")
     options = ("--upstream-calls", str(budget), "--wait-ms", "50")
-    async with aggregator(*options) as made, AsyncExitStack() as stack:
-        observer = await stack.enter_async_context(caller(made.port))
-        callers = [await connect(made.port, names[n:] + names[:n], 0) for n in range(connections)]
+    async with aggregator(*options) as made:
+        callers = await connect(made.port, add_texts(names), 0, connections)
         cpu_before, upstream_before = cpu_seconds(made.child.pid), MeasuredCounter.calls
         began, sent, told = time.monotonic(), 0, collections.Counter[str]()
         for second in range(seconds):
@@ -198,7 +205,8 @@
                 print(f"  second {second + 1}: {dict(now - told)}", flush=True)
             told = now
         elapsed = time.monotonic() - began
-        statistics = await observer.statistics()
+        async with caller(made.port) as observer:
+            statistics = await observer.statistics()
         cpu = cpu_seconds(made.child.pid) - cpu_before
         upstream = MeasuredCounter.calls - upstream_before
         print(
