--- a/tests/test_aggregator_server.py
+++ b/tests/test_aggregator_server.py
@@ -6,6 +6,7 @@
 import json
 import pathlib
 import signal
+import subprocess
 import sys
 
 import pytest
@@ -506,6 +507,14 @@
     assert told.startswith("embersill.aggregator: ") and told.count("\n") == 1
 
 
+def test_the_gateway_never_imports_the_aggregator() -> None:
+    check = (
+        "import sys, embersill.__main__, embersill.adapter; "
+        "sys.exit(any(name.startswith('embersill.aggregator') for name in sys.modules))"
+    )
+    assert subprocess.run([sys.executable, "-c", check], cwd=ROOT).returncode == 0
+
+
 def test_a_port_that_is_taken_ends_with_1_and_one_line() -> None:
     async def test() -> None:
         counter = await started()
