--- a/tests/test_aggregator_server.py
+++ b/tests/test_aggregator_server.py
@@ -492,7 +492,7 @@
         ["--listen", f"{HOST}:0", "--upstream", f"{HOST}:0"],
         ["--listen", f"{HOST}:0", "--upstream", f"{HOST}:1", "--window-ms", "nan"],
         ["--listen", f"{HOST}:0", "--upstream", f"{HOST}:1", "--upstream-calls", "0"],
-        ["--listen", f"{HOST}:0", "--upstream", f"{HOST}:1", "--directory", f"{HOST}:1"],
+        ["--listen", f"{HOST}:1", "--upstream", f"{HOST}:1", "--directory", f"{HOST}:1"],
         ["--listen", f"{HOST}:0", "--upstream", f"{HOST}:1", "--directory", f"{HOST}:1", "--id", "a"],
     ],
 )
