--- a/tests/test_aggregator_state.py
+++ b/tests/test_aggregator_state.py
@@ -475,6 +475,23 @@
     assert bench.names_sent() == [b"old.1", b"young.1"]
 
 
+def test_a_name_that_had_its_turn_as_the_oldest_is_last_in_line() -> None:
+    bench = Bench(lease=60.0)
+    bench.known("a.1")
+    bench.known("b.1")
+    bench.run(0.5)
+    bench.add("a.1", 1.0)
+    bench.add("b.1", 1.0)
+    bench.state.oldest_turn = True
+    forward = bench.next()
+    assert forward.name == b"a.1"
+    bench.add("a.1", 1.0)  # told while it is in flight: it never has nothing to tell
+    bench.end(forward, ForwardStatus.ADDED, 1.0)
+    bench.now += 0.2
+    bench.state.oldest_turn = True
+    assert bench.next().name == b"b.1"
+
+
 def test_large_amounts_do_not_starve_a_small_one() -> None:
     bench = Bench(upstream_calls=100.0, window=0.1, lease=60.0, wait=10.0)
     prime(bench)
