Refuse a length that can't be read at once, and normalize heads behind bodies in chunks

Cause: a request whose length has 19 digits or more was answered after the wait for its body (408 after 2.5 s), and a head that followed a body in chunks in the same read went to the parser as it came (400 for a tab behind chunked).

--- a/embersill/net/clients.py
+++ b/embersill/net/clients.py
@@ -20,7 +20,9 @@
 from embersill.interface import Repeats, Settings
 from embersill.net.bodies import MOST_BODY, READ, WHOLE, Upload, ended_unread, is_readable
 from embersill.net.driver import Call, Driver
-from embersill.net.framing import BadFraming, Framing, FramingFields, HeadNormalizer, UnknownCoding
+from embersill.net.framing import (
+    HEAD_END, BadFraming, Framing, FramingFields, HeadNormalizer, UnknownCoding, blank_line_end,
+)
 
 MOST_HEAD = 32 * 1024  # bytes of request line and headers: a generous browser sends a quarter of it
 MOST_PIPELINED = 16  # requests under way on one connection: further ones stay unread
@@ -240,6 +242,7 @@
         self.in_request, self.in_head, self.head_size = False, False, 0
         self.head: HeadNormalizer | None = HeadNormalizer()  # between requests and while a head comes
         self.body_left: int | None = None  # bytes of the body that are still to come, where they are known
+        self.body_tail = b""  # its last bytes so far, which may begin a blank line
         self.start_request()
 
     def start_request(self) -> None:
@@ -424,7 +427,7 @@
         self.head_size += len(piece) if self.in_head else 0
         long = self.upload is not None or self.body_size > WHOLE
         long = long or (self.framing.length or 0) > WHOLE
-        if self.bad is not None and self.in_request and not self.in_head and long:
+        if self.bad is not None and self.in_request and not self.in_head and (long or self.in_doubt):
             self.break_off(self.bad.status, str(self.bad))  # there is no use in reading all of it first
         elif self.trailers > MOST_HEAD:
             self.break_off(431, "the trailers are over 32 KiB")
@@ -434,8 +437,8 @@
     def feed(self, piece: bytes) -> None:
         """Feeds the parser, each head by itself and in the spelling that it reads.
 
-        Where a body in chunks ends is known to the parser alone: what follows one in the same piece is fed
-        as it came, and the parser refuses a spelling there that it does not read.
+        Where a body in chunks ends is known to the parser alone, but no such body ends elsewhere than behind
+        a blank line: so a piece of one that may hold its end is cut there.
         """
         while piece:
             if self.head is not None:
@@ -443,11 +446,12 @@
                 self.parser.feed_data(text)
                 if self.head.whole:
                     self.head = None if self.in_request else HeadNormalizer()
-                    self.body_left = self.framing.length
+                    self.body_left, self.body_tail = self.framing.length, b""
             else:
-                most = self.body_left or len(piece)
+                most = self.body_left or blank_line_end(self.body_tail, piece)
                 text, piece = piece[:most], piece[most:]
                 self.parser.feed_data(text)
+                self.body_tail = (self.body_tail + text)[1 - len(HEAD_END):]
                 self.body_left = None if self.body_left is None else self.body_left - len(text)
                 if not self.in_request:
                     self.head = HeadNormalizer()
--- a/embersill/net/framing.py
+++ b/embersill/net/framing.py
@@ -179,6 +179,12 @@
             self.feed_parser(data)
 
 
+def blank_line_end(before: bytes, piece: bytes) -> int:
+    """Bytes of a piece up to its first blank line's end, or all; `before`: up to three bytes ahead of it."""
+    found = (before + piece).find(HEAD_END)
+    return len(piece) if found < 0 else found + len(HEAD_END) - len(before)
+
+
 def is_plain(head: bytes) -> bool:
     """True for a head whose framing fields, if any, every parser reads alike."""
     values: list[bytes] = FRAMING_FIELD.findall(head)
