Put a customer's sum right also where counter calls are short

Cause: the call that takes off what accrued before its first use was denied (the customer counts as far from its quota until then), so that all of it stayed as room.

--- a/embersill/control.py
+++ b/embersill/control.py
@@ -110,6 +110,7 @@
         self.added, self.reading = 0.0, ""  # what this gateway added to the name it reads, and that name
         least = most_units * width * (WIDE_BANK if width > WIDE else 1.0)
         self.thin = width > 1 and 0 < plan.burst < least and plan.rate > 0
+        self.correction: dict[str, float] = {}  # of a name's sum, that the next call for it makes
         self.uncounted = 0.0  # units sent on that the counter has not been told, or told too much if below
         # out: name, units asked for, amount to keep, and what is added to put the sum right
         self.calls: deque[tuple[str, float, float, float]] = deque()
@@ -443,6 +444,8 @@
 
     def count_use(self, throttle: Throttle, asked: float, right: float = 0.0) -> None:
         name = f"{throttle.customer}.{int(self.now // EPOCH)}"
+        right = right or throttle.correction.get(name, 0.0)
+        throttle.correction = {}
         throttle.calls.append((name, asked, throttle.uncounted + asked, right))
         self.actions.append(Count(name, throttle.uncounted + asked + right, EPOCH))
         throttle.uncounted = 0.0
@@ -480,12 +483,11 @@
             spare = throttle.plan.rate * (self.now % EPOCH) - event.total  # unused, were there no burst
             twice = call[3] - max(0.0, spare + call[2] + call[3])  # others put it right before this call came
             trusted = self.budget.note(throttle, event, call[3], spare, self.now) if self.budget else 0.0
-            if call[3] > 0 and twice > EPS and not self.may_call(throttle):
-                self.tell_soon(throttle, -twice)
-            elif call[3] > 0 and twice > EPS:
-                self.count_use(throttle, 0.0, -twice)
-            elif not call[3] and spare > (SOON * burst if call[2] else burst) and self.may_call(throttle):
-                self.count_use(throttle, 0.0, spare)
+            throttle.correction = {}
+            if call[3] > 0 and twice > EPS:
+                self.put_right(throttle, event.name, -twice)
+            elif not call[3] and spare > (SOON * burst if call[2] else burst):
+                self.put_right(throttle, event.name, spare)
             throttle.set_share(1.0, self.now)
             level = burst + spare + call[1]
             first = throttle.queue[0] if throttle.queue else None
@@ -502,6 +504,15 @@
         throttle.asking = False
         self.release(throttle)
 
+    def put_right(self, throttle: Throttle, name: str, units: float) -> None:
+        """Corrects a customer's sum; where no call is allowed now, with the next one."""
+        if self.may_call(throttle, urgent=True):
+            self.count_use(throttle, 0.0, units)
+        elif units < 0:
+            self.tell_soon(throttle, units)
+        else:
+            throttle.correction = {name: units}
+
     def usual_for(self, job: Job) -> float:
         """Seconds such a request takes on the fleet."""
         fallback = self.usual.get((job.klass.name, 0.0), job.klass.aim / 8)
@@ -814,10 +825,9 @@
     def warm(self, address: str) -> None:
         """Opens ahead at a backend that this gateway will use, and does not yet."""
         server = self.servers.get(address)
-        if server is None or server.flight or address in self.banned:
+        if server is None or server.flight or server.backend.status is not Status.SERVING:
             return
-        serves = server.backend.status is Status.SERVING
-        if serves and self.weight(server, self.cover(self.order)) > 0:
+        if address not in self.banned and self.weight(server, self.cover(self.order)) > 0:
             self.actions.append(Warm(address, 1))
 
     def useful_until(self, job: Job) -> float:
