--- a/embersill/lab/scale/capacity_plan.py
+++ b/embersill/lab/scale/capacity_plan.py
@@ -102,6 +102,8 @@
 
 # terms that several rows share
 
+SMALL_LIST = {"backends": 500.0, "changes": 0.5, "customers": 2000.0, "gateways": 20.0}
+
 LOAD = ("gateways", "customers", "requests")
 COUNTER_CALLS = at_gateway("counter_calls_per_gateway", *LOAD)
 COUNTER_CALLS_FLEET = at_gateway("counter_calls_per_gateway", *LOAD, factor=GATEWAYS)
@@ -135,8 +137,8 @@
             budget=GATEWAY_CPU, missing=LEASES),
     RowPlan("CPU of decisions", "cores", LOCAL,
             (at_gateway("module_cpu_share", "requests", "backends", "customers"),)),
-    RowPlan("CPU of decisions, each request, list as played", "µs", LOCAL,
-            (at_gateway("module_us_per_request", "requests"),)),
+    RowPlan("CPU of decisions, each request, with 500 backends", "µs", LOCAL,
+            (Term("module_us_per_request", ("requests",), settled=SMALL_LIST),)),
     RowPlan("CPU to take a whole list", "ms", FULL_STATE, (Term("whole_list_ms", ("backends",)),)),
     RowPlan("CPU to take a change", "ms", DELTAS, (Term("change_ms", ("backends",)),)),
     RowPlan("memory of the process", "MB", FULL_REPLICA,
