Let gateways of scale runs use the real routing over aggregators and its budget

Aggregators of a play were called by address, and hollow gateways had neither the router nor the budget. With aggregators a play now starts a list service for them, in which they register with leases; hollow gateways use AggregatorRouter and AggregationSettings, real ones get the part aggregation. Measures: calls in and out, busy shares, CPU (sum), memory (mean); a play may kill aggregators and time the failover.

--- a/embersill/lab/scale/axes.py
+++ b/embersill/lab/scale/axes.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, replace
 
 from embersill.lab.scale.plan import PlayPlan
-from embersill.lab.scale.records import FleetSize
+from embersill.lab.scale.records import BUDGET, FleetSize
 
 BASE = FleetSize(
     gateways=100, backends=500, customers=2000, spread=4, requests_per_second=5.0, changes_per_second=0.5,
@@ -49,6 +49,8 @@
     counter_parts: int = 1
     counter_calls_per_second: float = 0.0
     aggregators: int = 0
+    gateway_calls_per_second: float = BUDGET.calls_per_second
+    gateway_calls_burst: float = BUDGET.burst
 
 
 AXES = (
@@ -84,7 +86,9 @@
 def make_plan(axis: Axis, value: float, number: int, settings: RunSettings) -> PlayPlan:
     size = replace(
         axis.size(value), counter_parts=settings.counter_parts,
-        counter_calls_per_second=settings.counter_calls_per_second, aggregators=settings.aggregators)
+        counter_calls_per_second=settings.counter_calls_per_second, aggregators=settings.aggregators,
+        gateway_calls_per_second=settings.gateway_calls_per_second,
+        gateway_calls_burst=settings.gateway_calls_burst)
     # long enough for one change at the least
     seconds = max(settings.seconds, 1.0 / size.changes_per_second)
     seed = zlib.crc32(f"{axis.name} {value:g} {number}".encode()) % SEEDS
--- a/embersill/lab/scale/bounds.py
+++ b/embersill/lab/scale/bounds.py
@@ -66,6 +66,8 @@
     calls = CALLS_PER_CUSTOMER * counts["customers_per_gateway"] * (1.0 + edge)
     if has_thin_plans(size, play.seed):
         calls += CALLS_PER_THIN_REQUEST * size.requests_per_second + 4.0 * edge
+    if size.aggregators:
+        calls = min(calls, size.gateway_calls_per_second + size.gateway_calls_burst * edge)
     yield Bound("counter_calls_per_gateway", calls)
     made = counts["counter_calls_per_gateway"] + edge
     yield Bound("counter_bytes_out_per_gateway", made * longest_call())
--- a/embersill/lab/scale/children.py
+++ b/embersill/lab/scale/children.py
@@ -55,6 +55,7 @@
 
     def __init__(self, name: str, process: asyncio.subprocess.Process, log: pathlib.Path) -> None:
         self.name, self.process, self.log = name, process, log
+        self.killed = False  # by the play itself, whose end it is not then
 
     @property
     def pid(self) -> int:
@@ -153,9 +154,15 @@
     async def start_module(self, name: str, module: str, *arguments: str) -> Child:
         return await self.start(name, [sys.executable, "-m", module, *arguments])
 
+    async def kill(self, child: Child) -> None:
+        """Kills a process as a part of the play."""
+        child.killed = True
+        kill_session(child.pid)
+        await child.process.wait()
+
     async def watch(self, child: Child) -> None:
         await child.process.wait()
-        if not (self.closing or self.ended.done()):
+        if not (self.closing or child.killed or self.ended.done()):
             self.ended.set_result(child)
 
     async def unless_one_ends(self, work: Coroutine[Any, Any, Result], within: float) -> Result:
--- a/embersill/lab/scale/command.py
+++ b/embersill/lab/scale/command.py
@@ -32,6 +32,7 @@
 from embersill.lab.scale.plan import PlayPlan
 from embersill.lab.scale.play import MEMORY_PART, run_play
 from embersill.lab.scale.records import FORMAT_VERSION, BadRecord, Play, Record, read_record, write_record
+from embersill.settings import AGGREGATION_RANGES
 
 DONE, FAILED, BAD_USE = 0, 1, 2
 MOST_PROCESSES = 64
@@ -78,9 +79,11 @@
     in_range("counter-calls", told.counter_calls, 0, 1e6)
     in_range("aggregators", told.aggregators, 0, MOST_CHILDREN)
     check_aggregators(told.aggregators)
+    in_range("gateway-calls", told.gateway_calls, *AGGREGATION_RANGES["calls_per_second"])
+    in_range("gateway-burst", told.gateway_burst, *AGGREGATION_RANGES["burst"])
     return RunSettings(
         plays, seconds, SMALL_WARM_UP_SECONDS if small else WARM_UP_SECONDS, told.processes, told.real,
-        told.counter_parts, told.counter_calls, told.aggregators)
+        told.counter_parts, told.counter_calls, told.aggregators, told.gateway_calls, told.gateway_burst)
 
 
 def chosen_axes(told: argparse.Namespace) -> list[Axis]:
@@ -107,15 +110,19 @@
 
 
 def needed_processes(plan: PlayPlan) -> int:
-    """Hosts of gateways, real gateways with their clients, aggregators, the counter and the list service."""
+    """Hosts of gateways, real gateways with their clients, aggregators with their list, the other peers."""
     around_real = plan.real_gateways + 1 if plan.real_gateways else 0
-    return plan.workers + around_real + plan.size.aggregators + SINGLE_PEERS
+    around_aggregators = plan.size.aggregators + 1 if plan.size.aggregators else 0
+    return plan.workers + around_real + around_aggregators + SINGLE_PEERS
 
 
 def needed_descriptors(plan: PlayPlan) -> int:
     """Of the process that needs most: the counter, or one that hosts gateways."""
     hosted = math.ceil(plan.size.gateways / plan.workers)
-    at_worker = hosted * (LINES_PER_GATEWAY + WATCHES_PER_GATEWAY)
+    connections = LINES_PER_GATEWAY + WATCHES_PER_GATEWAY
+    if plan.size.aggregators:
+        connections = plan.size.aggregators + 2 * WATCHES_PER_GATEWAY
+    at_worker = hosted * connections
     return max(at_worker, plan.size.gateways * LINES_PER_GATEWAY) + SPARE_DESCRIPTORS
 
 
--- a/embersill/lab/scale/deployment.py
+++ b/embersill/lab/scale/deployment.py
@@ -8,13 +8,13 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from itertools import accumulate
 from typing import Any
 
 import numpy as np
 
-from embersill.interface import Settings
+from embersill.interface import AggregationSettings, Settings
 from embersill.lab.scale.records import FleetSize
 from embersill.settings import read_settings
 
@@ -113,7 +113,14 @@
             self.size.requests_per_second if len(customers) else 0.0)
 
     def settings(self, gateway: int) -> Settings:
-        return read_settings(self.told_settings(gateway))
+        return replace(read_settings(self.told_settings(gateway)), aggregation=self.aggregation())
+
+    def aggregation(self, directory: str = "") -> AggregationSettings | None:
+        """The part `aggregation` of a gateway's configuration; None where they call the counter itself."""
+        if not self.size.aggregators:
+            return None
+        return AggregationSettings(
+            directory, self.size.gateway_calls_per_second, self.size.gateway_calls_burst)
 
     def told_settings(self, gateway: int) -> dict[str, Any]:
         """A gateway's settings in the platform's form; its times are milliseconds."""
--- a/embersill/lab/scale/list_service.py
+++ b/embersill/lab/scale/list_service.py
@@ -57,13 +57,14 @@
 
 
 async def start_service(
-    children: Children, folder: pathlib.Path, port: int, watches: int, leader: str = ""
+    children: Children, folder: pathlib.Path, port: int, watches: int, leader: str = "",
+    name: str = "directory",
 ) -> Child:
     """A leader, or a follower of the one at that address."""
     role = "follower" if leader else "leader"
     follow = ["--follow", leader] if leader else []
     return await children.start_module(
-        f"directory-{role}", "embersill.directory", "--listen", f"{HOST}:{port}", "--data", str(folder),
+        f"{name}-{role}", "embersill.directory", "--listen", f"{HOST}:{port}", "--data", str(folder),
         "--fill", "0", "--watchers", str(watches + SPARE_WATCHES), *follow)
 
 
