Compare plays without and with aggregators: runs, record, tables of the page, their check

The page had no figures of the whole. Plays of a fleet have the same seeds on both sides. No play recorded yet.

--- /dev/null
+++ b/embersill/lab/scale/aggregation_tables.py
@@ -0,0 +1,181 @@
+"""The tables of docs/aggregation.md that compare plays without and with aggregators, made from their record.
+
+    python -m embersill.lab.scale.aggregation_tables docs/capacity/aggregation.json --page docs/aggregation.md
+"""
+
+from __future__ import annotations
+
+import argparse
+import pathlib
+import statistics
+import sys
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+from embersill.lab.scale.aggregation_runs import AFTER, BEFORE, FAILOVER, LOAD
+from embersill.lab.scale.capacity import (
+    BLANK, DIFFERS, DONE, BadPage, as_table, differences, filled_tables, replace_tables,
+)
+from embersill.lab.scale.capacity_model import number
+from embersill.lab.scale.records import BadRecord, FleetSize, Play, Record, read_record
+
+BAD_USE = 2
+PERCENT, CORE_PERCENT = 100.0, 100.0
+
+
+@dataclass(frozen=True, slots=True)
+class Column:
+    """One measure of the plays."""
+
+    head: str
+    measure: str
+    factor: float = 1.0
+
+
+COUNTS = (
+    Column("counter calls/s, fleet", "counter_calls_fleet"),
+    Column("of these turned away, %", "counter_busy_share", PERCENT),
+    Column("calls/s in, all aggregators", "aggregator_calls_in"),
+    Column("calls/s out", "aggregator_calls_out"),
+    Column("turned away there, %", "aggregator_busy_share", PERCENT),
+    Column("calls/s, a gateway", "counter_calls_per_gateway"),
+    Column("bytes/s out, a gateway", "counter_bytes_out_per_gateway"),
+    Column("refused, % of requests", "refused_share", PERCENT),
+    Column("refused with room, %", "refused_with_room_share", PERCENT),
+    Column("beyond quota, %", "beyond_quota_share", PERCENT),
+)
+TIMES = (
+    Column("aggregators' CPU, % of a core, sum", "aggregator_cpu_share", CORE_PERCENT),
+    Column("an aggregator's memory, MB", "aggregator_memory_mb"),
+    Column("module, us a request", "module_us_per_request"),
+    Column("added p50, ms", "added_p50_ms"),
+    Column("added p99, ms", "added_p99_ms"),
+    Column("load of the machine", LOAD),
+)
+FAILOVER_COLUMNS = (
+    Column("hollow gateways that got there", "failover_gateways"),
+    Column("list has it no longer, median s", "failover_known_median_s"),
+    Column("longest s", "failover_known_longest_s"),
+    Column("answered again, median s", "failover_answered_median_s"),
+    Column("longest s", "failover_answered_longest_s"),
+    Column("refused with room, %", "refused_with_room_share", PERCENT),
+    Column("beyond quota, %", "beyond_quota_share", PERCENT),
+    Column("load of the machine", LOAD),
+)
+FLEET_HEAD = ("gateways", "customers", "spread", "parts", "aggregators", "plays")
+
+
+def figures(plays: Iterable[Play], column: Column) -> list[float]:
+    """The measure in each play that has it."""
+    both = [play.counts | play.times for play in plays]
+    return [column.factor * play[column.measure] for play in both if column.measure in play]
+
+
+def cell(plays: Sequence[Play], column: Column) -> str:
+    """The median of the plays, with the least and the most where they differ."""
+    found = figures(plays, column)
+    if not found:
+        return BLANK
+    middle, least, most = (number(f(found)) for f in (statistics.median, min, max))
+    return middle if least == most else f"{middle} ({least} to {most})"
+
+
+def fleet_cells(size: FleetSize, plays: Sequence[Play]) -> list[str]:
+    spread = "all" if size.spread == size.gateways else number(size.spread)
+    return [number(size.gateways), number(size.customers), spread, number(size.counter_parts),
+            number(size.aggregators), number(len(plays))]
+
+
+def by_size(record: Record, axes: Sequence[str]) -> dict[FleetSize, list[Play]]:
+    """The plays of these axes by size, smallest first."""
+    found: dict[FleetSize, list[Play]] = {}
+    for play in record.plays:
+        if play.axis in axes:
+            found.setdefault(play.size, []).append(play)
+    return dict(sorted(found.items(), key=size_order))
+
+
+def size_order(entry: tuple[FleetSize, list[Play]]) -> tuple[int, int, int, int]:
+    size = entry[0]
+    return size.gateways, size.customers, size.spread, size.aggregators
+
+
+def size_table(record: Record, axes: Sequence[str], columns: Sequence[Column]) -> str:
+    """One row for each size."""
+    head = [*FLEET_HEAD, *(column.head for column in columns)]
+    rows = [[*fleet_cells(size, plays), *(cell(plays, column) for column in columns)]
+            for size, plays in by_size(record, axes).items()]
+    return as_table(head, rows)
+
+
+def play_table(record: Record, axis: str, columns: Sequence[Column]) -> str:
+    """One row for each play."""
+    plays = sorted((play for play in record.plays if play.axis == axis), key=lambda play: play.number)
+    head = [*FLEET_HEAD[:-1], "play", *(column.head for column in columns)]
+    rows = [[*fleet_cells(play.size, [play])[:-1], str(play.number), *(cell([play], c) for c in columns)]
+            for play in plays]
+    return as_table(head, rows)
+
+
+def run_table(record: Record) -> str:
+    """When and how the record was taken, with all seeds."""
+    seeds = sorted({play.seed for play in record.plays})
+    seconds = sorted({(play.axis, play.seconds) for play in record.plays})
+    rows = [("taken", record.taken), ("cores", str(record.cores)),
+            *((f"measured seconds of a play, {axis}", number(length)) for axis, length in seconds),
+            ("requests/s at a gateway", ", ".join(sorted({number(p.size.requests_per_second)
+                                                         for p in record.plays}))),
+            ("calls/s that a part of the counter serves",
+             ", ".join(sorted({number(p.size.counter_calls_per_second) for p in record.plays}))),
+            ("calls/s and burst of a gateway's budget",
+             "; ".join(sorted({f"{number(p.size.gateway_calls_per_second)} and "
+                               f"{number(p.size.gateway_calls_burst)}" for p in record.plays}))),
+            ("seeds", ", ".join(map(str, seeds)))]
+    return as_table(("what", "of the run"), rows)
+
+
+def build_tables(record: Record) -> dict[str, str]:
+    """All tables by name."""
+    return {
+        "run": run_table(record),
+        "before_after": size_table(record, (BEFORE, AFTER), COUNTS),
+        "before_after_times": size_table(record, (BEFORE, AFTER), TIMES),
+        "failover": play_table(record, FAILOVER, FAILOVER_COLUMNS),
+    }
+
+
+def check_page(path: pathlib.Path, page: str) -> list[str]:
+    """The rows that are not as generated; without a record the tables have to be empty."""
+    return differences(page, build_tables(read_record(path))) if path.exists() else filled_tables(page)
+
+
+def run(told: argparse.Namespace) -> int:
+    page = told.page.read_text()
+    if not told.check:
+        told.page.write_text(replace_tables(page, build_tables(read_record(told.record))))
+        return DONE
+    found = check_page(told.record, page)
+    for line in found:
+        print(line, file=sys.stderr)
+    return DIFFERS if found else DONE
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    parser = argparse.ArgumentParser(
+        prog="python -m embersill.lab.scale.aggregation_tables",
+        description="Writes the tables of the page on aggregation from their record, or checks them.",
+        epilog="Exits with 0: done, 1: the page differs, 2: bad use.")
+    parser.add_argument("record", type=pathlib.Path, metavar="RECORD")
+    parser.add_argument("--page", type=pathlib.Path, required=True, help="the page that holds the tables")
+    parser.add_argument("--check", action="store_true",
+                        help="write nothing; exit with 1 if a row of the page is not as generated")
+    told = parser.parse_args(arguments)
+    try:
+        return run(told)
+    except (BadRecord, BadPage, OSError) as error:
+        print(error, file=sys.stderr)
+        return BAD_USE
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/test_scale_aggregation_page.py
@@ -0,0 +1,78 @@
+"""The tables of docs/aggregation.md: they are their record, and the check tells a row that differs."""
+
+from __future__ import annotations
+
+import pathlib
+from dataclasses import replace
+
+import pytest
+
+from embersill.lab.scale.aggregation_runs import (
+    AFTER, BEFORE, FAILOVER, FLEETS, PLAYS, plan_all, plan_comparison, plan_failover,
+)
+from embersill.lab.scale.aggregation_tables import build_tables, check_page, main
+from embersill.lab.scale.capacity import page_tables
+from embersill.lab.scale.records import FORMAT_VERSION, Play, Record, write_record
+
+ROOT = pathlib.Path(__file__).parent.parent
+PAGE, RECORD = ROOT / "docs" / "aggregation.md", ROOT / "docs" / "capacity" / "aggregation.json"
+
+
+def test_the_page_is_the_record() -> None:
+    assert check_page(RECORD, PAGE.read_text()) == []
+
+
+def test_the_page_has_a_place_for_each_table() -> None:
+    assert set(page_tables(PAGE.read_text())) == set(build_tables(Record(FORMAT_VERSION, "", "", 1, ())))
+
+
+def drawn_plays() -> list[Play]:
+    """A play of each plan, with figures that differ from play to play."""
+    return [
+        Play(plan.axis, plan.value, plan.number, plan.seed, plan.size, plan.seconds,
+             {"counter_calls_fleet": 10.0 * place}, {"machine_load": 1.0 + place})
+        for place, plan in enumerate([*plan_all(FLEETS), *plan_failover()])]
+
+
+@pytest.fixture
+def site(tmp_path: pathlib.Path) -> tuple[pathlib.Path, pathlib.Path]:
+    """A drawn record, and a page that was written from it."""
+    record, page = tmp_path / "record.json", tmp_path / "page.md"
+    write_record(record, Record(FORMAT_VERSION, "2026-12-02", "drawn", 1, tuple(drawn_plays())))
+    page.write_text("".join(f"<!-- table: {name} -->\n<!-- end -->\n" for name in build_tables(
+        Record(FORMAT_VERSION, "", "", 1, ()))))
+    assert main([str(record), "--page", str(page)]) == 0
+    return record, page
+
+
+def test_a_changed_digit_is_told(
+    site: tuple[pathlib.Path, pathlib.Path], capsys: pytest.CaptureFixture[str]
+) -> None:
+    record, page = site
+    assert main([str(record), "--page", str(page), "--check"]) == 0
+    page.write_text(page.read_text().replace("| 300 |", "| 301 |", 1))
+    assert main([str(record), "--page", str(page), "--check"]) == 1
+    assert "301" in capsys.readouterr().err
+
+
+def test_tables_without_a_record_are_told(site: tuple[pathlib.Path, pathlib.Path]) -> None:
+    record, page = site
+    record.unlink()
+    assert main([str(record), "--page", str(page), "--check"]) == 1
+
+
+@pytest.mark.parametrize("fleet", FLEETS)
+def test_plays_without_and_with_aggregators_are_drawn_alike(fleet: str) -> None:
+    plans = plan_comparison(fleet)
+    for number in range(PLAYS):
+        together = [plan for plan in plans if plan.number == number]
+        assert {plan.axis for plan in together} == {BEFORE, AFTER}
+        assert len({plan.seed for plan in together}) == 1
+        assert len({replace(plan.size, aggregators=0) for plan in together}) == 1
+    assert len({plan.seed for plan in plans}) == PLAYS
+
+
+def test_a_failover_kills_one_of_its_aggregators_early() -> None:
+    for plan in plan_failover():
+        assert plan.axis == FAILOVER
+        assert 0 < plan.size.aggregators_killed < plan.size.aggregators
