--- a/tests/test_scale_aggregated.py
+++ b/tests/test_scale_aggregated.py
@@ -10,12 +10,13 @@
 import math
 import os
 import pathlib
+import random
 import re
 import time
 from collections import Counter as Tally
 from collections import defaultdict, deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import hiredis
 import pytest
@@ -35,10 +36,10 @@
 from embersill.lab.scale.records import FleetSize
 from embersill.lab.scale.resp import AddCall, CounterModel
 
-GATEWAYS, AGGREGATORS = 3, 2
+GATEWAYS, AGGREGATORS = 3, 2  # that are started
 CALLS_PER_SECOND, BURST = 12.0, 12.0  # of a gateway: below what its load would make without a bound
 SIZE = FleetSize(
-    gateways=GATEWAYS, backends=6, customers=90, spread=GATEWAYS, requests_per_second=60.0,
+    gateways=12, backends=24, customers=90, spread=GATEWAYS, requests_per_second=60.0,
     changes_per_second=0.5, restarted_share=0.0, aggregators=AGGREGATORS,
     gateway_calls_per_second=CALLS_PER_SECOND, gateway_calls_burst=BURST)
 STEADY_SECONDS = 4.0
@@ -47,8 +48,13 @@
 ALONE_SECONDS = 3.0
 LEASE_SECONDS = 10.0  # of an aggregator in its list
 MOVED_WITHIN = LEASE_SECONDS + 5.0  # seconds: the lease, its expiry noticed, the news told, a gateway's pause
+# customers whose parts of a quota hold no request: each request asks the counter, by a name that lives
+# long. They may enter through all gateways, the others through those that are started
+THIN_SIZE = replace(SIZE, spread=SIZE.gateways, customers=SIZE.customers + 12, requests_per_second=2.0)
+THIN_CUSTOMERS = range(SIZE.customers, THIN_SIZE.customers)
+THIN_REQUESTS_PER_SECOND = 25.0  # at a gateway
 HOT_RATE = 10.0  # units a second, near which the quota is of the customer that asks for several times as much
-HOT_SERVICE_SECONDS = 0.01
+SERVICE_SECONDS = 0.01
 COUNTED_LATE_SECONDS = 1.5  # a second's demand is told at its end, an amount is held for a window
 EXACT = 1e-6  # part by which totals may differ: they are told to seven digits
 SOCKET = re.compile(r"socket:\[(\d+)\]")
@@ -192,6 +198,7 @@
     def __init__(self, folder: pathlib.Path, children: Children) -> None:
         self.folder, self.children, self.seen = folder, children, Observations()
         self.deployment = Deployment(SIZE, seed=7)
+        self.deployment.first_gateways[:] = 0
         self.counter = RecordingCounter()
         self.counter_port, self.list_port = free_port(), free_port()
         self.aggregator_list = f"{HOST}:{free_port()}"
@@ -203,6 +210,11 @@
         self.aggregators: dict[str, Aggregator] = {}
         self.gateways: list[Child] = []
         self.clients: list[RealGatewayClients] = []
+        self.thin_clients: list[RealGatewayClients] = []
+        self.thin_deployment = Deployment(THIN_SIZE, seed=7)
+        self.thin_deployment.first_gateways[:] = 0
+        self.dice = random.Random(7)
+        self.loading: list[asyncio.Task[None]] = []
         plans = [self.deployment.plan_of(customer) for customer in range(SIZE.customers)]
         self.hot = min(range(SIZE.customers), key=lambda customer: abs(plans[customer].rate - HOT_RATE))
         self.hot_rate = plans[self.hot].rate
@@ -249,6 +261,8 @@
         task = ClientsTask(
             SIZE, 7, 0, [f"{HOST}:{self.list_port}"], f"{HOST}:{self.counter_port}", self.ports)
         self.clients = [RealGatewayClients(task, self.deployment, ports, self.events) for ports in self.ports]
+        self.thin_clients = [
+            RealGatewayClients(task, self.thin_deployment, ports, self.events) for ports in self.ports]
         for clients, ports in zip(self.clients, self.ports, strict=True):
             await clients.start()
             self.gateways.append(await start_gateway(
@@ -256,20 +270,38 @@
         for child, ports in zip(self.gateways, self.ports, strict=True):
             await wait_ready(child, ports, PEER_START_SECONDS)
 
-    def load(self, on: bool) -> None:
+    def load(self, on: bool, hot: bool = False) -> None:
         for clients in self.clients:
             if on:
                 clients.source.start()
             else:
                 clients.source.stop()
+        for task in self.loading:
+            task.cancel()
+        self.loading = [asyncio.create_task(self.ask_for_thin_customers())] if on else []
+        if hot:
+            self.loading.append(asyncio.create_task(self.ask_for_the_hot_customer()))
 
     async def ask_for_the_hot_customer(self) -> None:
         """At each gateway as much as the quota allows at all of them."""
         while True:
             for clients in self.clients:
-                clients.arrive(DrawnRequest(self.hot, READ, HOT_SERVICE_SECONDS))
+                clients.arrive(DrawnRequest(self.hot, READ, SERVICE_SECONDS))
             await asyncio.sleep(1.0 / self.hot_rate)
 
+    async def ask_for_thin_customers(self) -> None:
+        while True:
+            for clients in self.thin_clients:
+                clients.arrive(DrawnRequest(self.dice.choice(THIN_CUSTOMERS), READ, SERVICE_SECONDS))
+            await asyncio.sleep(1.0 / THIN_REQUESTS_PER_SECOND)
+
+    async def calls_end(self) -> None:
+        """Waits until gateways have told what they have to tell, and the counter has it."""
+        told = -1
+        while told < len(self.seen.calls):
+            told = len(self.seen.calls)
+            await asyncio.sleep(SETTLE_SECONDS)
+
     def hot_sent(self) -> int:
         events = self.events.events
         return sum(
@@ -298,7 +330,7 @@
     bed.load(True)
     await asyncio.sleep(STEADY_SECONDS)
     bed.load(False)
-    await asyncio.sleep(2 * SETTLE_SECONDS)
+    await bed.calls_end()
     seen.steady_in = [await read_figures(made) for made in bed.aggregators.values()]
     seen.counter_calls, seen.steady_calls = bed.counter.calls, len(seen.calls)
     told: defaultdict[str, float] = defaultdict(float)
@@ -313,7 +345,7 @@
     seen = bed.seen
     before = {call.customer for call in seen.calls if call.aggregator == "aggregator-0"}
     served, failed = bed.served(), bed.failed()
-    bed.load(True)
+    bed.load(True, hot=True)
     await asyncio.sleep(SETTLE_SECONDS)
     seen.killed_at = time.monotonic()
     await bed.kill("aggregator-0")
@@ -370,10 +402,8 @@
             await steady(bed)
             plan = bed.deployment.plan_of(bed.hot)
             seen.hot_rate, seen.hot_burst = plan.rate, plan.burst
-            hot = asyncio.create_task(bed.ask_for_the_hot_customer())
             for part in (one_killed, restarted_empty, both_gone):
                 await part(bed)
-            hot.cancel()
             bed.load(False)
             return seen
 
