--- a/embersill/lab/scale/aggregation_runs.py
+++ b/embersill/lab/scale/aggregation_runs.py
@@ -46,6 +46,7 @@
     "everywhere": replace(FEW, spread=FEW.gateways),
     "many": replace(
         FEW, gateways=1_100, customers=39_000, spread=16, requests_per_second=1.0, counter_parts=3),
+    "crowded": replace(FEW, gateways=1_100, spread=1_100, requests_per_second=1.0),
 }
 LOAD = "machine_load"  # mean of the last minute at a play's end: processes that ran or would have
 
