--- a/tests/test_scale_aggregation_page.py
+++ b/tests/test_scale_aggregation_page.py
@@ -11,8 +11,9 @@
     AFTER, BEFORE, FAILOVER, FLEETS, PLAYS, plan_all, plan_comparison, plan_failover,
 )
 from embersill.lab.scale.aggregation_tables import build_tables, check_page, main
+from embersill.lab.scale.bounds import broken_bounds
 from embersill.lab.scale.capacity import page_tables
-from embersill.lab.scale.records import FORMAT_VERSION, Play, Record, write_record
+from embersill.lab.scale.records import FORMAT_VERSION, Play, Record, read_record, write_record
 
 ROOT = pathlib.Path(__file__).parent.parent
 PAGE, RECORD = ROOT / "docs" / "aggregation.md", ROOT / "docs" / "capacity" / "aggregation.json"
@@ -26,6 +27,12 @@
     assert set(page_tables(PAGE.read_text())) == set(build_tables(Record(FORMAT_VERSION, "", "", 1, ())))
 
 
+def test_recorded_counts_keep_to_the_protocols_bounds() -> None:
+    plays = read_record(RECORD).plays
+    assert plays
+    assert [str(broken) for play in plays for broken in broken_bounds(play)] == []
+
+
 def drawn_plays() -> list[Play]:
     """A play of each plan, with figures that differ from play to play."""
     return [
