Leave bare line feeds to the parser, and let the margin that staff name stand

A framing field that ends with a bare LF was written out with CRLF, and so made valid: it goes to the parser as it came. The bound on the idle margin also held for a margin that the configuration names: it holds for the usual one alone now.

--- a/embersill/net/framing.py
+++ b/embersill/net/framing.py
@@ -141,6 +141,8 @@
         """A line in the parser's spelling; unchanged where it is no framing field, or a malformed one."""
         name, colon, value = line.partition(b":")
         field = name.lower() + colon
+        if not line.endswith(b"\r\n"):
+            return line  # the parser refuses it
         if field == CODING_FIELD and value.rstrip(b"\r\n").strip(OPTIONAL_WHITE_SPACE).lower() == CHUNKED:
             return b"Transfer-Encoding: chunked\r\n"
         if field != LENGTH_FIELD:
--- a/embersill/net/pool.py
+++ b/embersill/net/pool.py
@@ -21,7 +21,8 @@
 AT_ONCE = 0.01  # seconds after the write in which a kept connection that was dead already breaks
 ALIVE_FOR = 2.0  # seconds since it was heard from for which a backend counts as alive: a failed open is then
 # its full table's; dials end within a fraction of that
-MARGIN_PART = 0.25  # of the backends' idle limit, at most, that the margin before it may take
+USUAL_MARGIN = PoolSettings().margin
+MARGIN_PART = 0.25  # of the backends' idle limit, at most, that the usual margin before it may take
 AGE_SPREAD = 0.2  # of the max age, either way, by which connections that were opened together end apart
 
 Address = tuple[str, int]
@@ -120,7 +121,9 @@
         self.open_failed: Callable[[str, int], None] = lambda backend, up: None
 
     def idle_limit(self, place: Place) -> float:
-        margin = min(self.settings.margin, MARGIN_PART * self.keepalive)
+        margin = self.settings.margin
+        if margin == USUAL_MARGIN:  # staff who name another one know their backends' limit
+            margin = min(margin, MARGIN_PART * self.keepalive)
         return max(min(self.keepalive - margin, place.idle_for), LEAST_IDLE)
 
     # what the list and the module say
--- a/tests/test_framing.py
+++ b/tests/test_framing.py
@@ -54,6 +54,8 @@
     b"Content-Length: 5\r\nContent-Length: 6\r\n\r\n": b"Content-Length: 5\r\nContent-Length: 6\r\n\r\n",
     b"Content-Length: +5\r\n\r\n": b"Content-Length: +5\r\n\r\n",
     b"Transfer-Encoding: gzip, chunked\r\n\r\n": b"Transfer-Encoding: gzip, chunked\r\n\r\n",
+    b"Content-Length: 5\nX-A: b\r\n\r\n": b"Content-Length: 5\nX-A: b\r\n\r\n",
+    b"Transfer-Encoding: chunked\n\r\n": b"Transfer-Encoding: chunked\n\r\n",
     b"Content-Type: a\r\n\r\n": b"Content-Type: a\r\n\r\n",
     b"\r\n": b"\r\n",
 }
