Read upstream replies in the aggregator as the gateway's client reads them

The aggregator had the reading of a CNT.ADD reply and its number's form a second time; it calls read_reply and TOTAL of net/counter.py now.

--- a/embersill/aggregator/resp.py
+++ b/embersill/aggregator/resp.py
@@ -2,20 +2,27 @@
 
 from __future__ import annotations
 
-import math
 import re
 from dataclasses import dataclass
 
 import hiredis
 
 from embersill.aggregator.messages import Busy, ForwardResult, ForwardStatus, Total, Unknown
+from embersill.interface import Outcome
+from embersill.net.counter import TOTAL, read_reply
 
 LONGEST_NAME = 64  # bytes
 MOST_AMOUNT = 1e9
 LONGEST_LIFE_MS = 60_000
-NUMBER = re.compile(rb"[+-]?\d{1,30}(\.\d{0,30})?([eE][+-]?\d{1,3})?")  # float() takes more: nan, 1_0
 WHOLE_NUMBER = re.compile(rb"\d{1,15}")
 
+STATUSES = {
+    Outcome.SERVED: ForwardStatus.ADDED,
+    Outcome.TURNED_AWAY: ForwardStatus.BUSY,
+    Outcome.ERROR: ForwardStatus.ERROR,
+    Outcome.TIMED_OUT: ForwardStatus.UNKNOWN,
+}
+
 OK = b"+OK\r\n"
 PONG = b"+PONG\r\n"
 BUSY = b"-BUSY nothing added\r\n"
@@ -46,7 +53,7 @@
 
 
 def read_amount(text: bytes) -> float:
-    if not NUMBER.fullmatch(text) or not abs(amount := float(text)) <= MOST_AMOUNT:
+    if not TOTAL.fullmatch(text) or not abs(amount := float(text)) <= MOST_AMOUNT:
         raise CallError("an amount is a decimal number of at most 1e9")
     return amount
 
@@ -65,15 +72,9 @@
 
 
 def read_result(reply: object) -> ForwardResult:
-    """What an upstream reply says of its call."""
-    if isinstance(reply, hiredis.ReplyError):
-        kind = str(reply).partition(" ")[0]
-        known = {"BUSY": ForwardStatus.BUSY, "ERR": ForwardStatus.ERROR}
-        return ForwardResult(known.get(kind, ForwardStatus.UNKNOWN))
-    text = b"%d" % reply if isinstance(reply, int) and not isinstance(reply, bool) else reply
-    if isinstance(text, bytes) and NUMBER.fullmatch(text) and math.isfinite(total := float(text)):
-        return ForwardResult(ForwardStatus.ADDED, total)
-    return ForwardResult(ForwardStatus.UNKNOWN)
+    """What an upstream reply says of its call: the same as it says to a gateway's client."""
+    outcome, total = read_reply(reply)
+    return ForwardResult(STATUSES[outcome], total)
 
 
 def bulk_text(content: bytes) -> bytes:
