Wait for a list as long as its bytes come, and not for half of the grace

Cause: discovery.py, Discovery.call: asyncio.timeout(wait + patience) bounds the whole of an answer. Where lists are pushed the patience is half of the grace, 0.5 s, for any call, so a list that needs longer (many times the usual backends; pieces; a part of a core) is asked for again and never read, and drains in it are not obeyed. Ruled out: the size bound (4 MB), the parser (25 ms), back-off (0.25 s at most).

Change: the time of a call moves on with each piece of its answer; it ends with half a second of silence as before, and, so that a peer that drips does not hold it, once the answer is slower than 64 KiB a second after four seconds.

--- a/embersill/lab/soak/discovery_agent.py
+++ b/embersill/lab/soak/discovery_agent.py
@@ -122,6 +122,8 @@
     async def write(self, writer: asyncio.StreamWriter, text: bytes) -> None:
         size = self.faults.piece or len(text)
         for place in range(0, len(text), size):
+            if writer.transport.is_closing():
+                raise ConnectionResetError
             writer.write(text[place:place + size])
             if self.faults.pause > 0:
                 await asyncio.sleep(self.faults.pause)
--- a/embersill/net/discovery.py
+++ b/embersill/net/discovery.py
@@ -41,6 +41,8 @@
 ANSWER_WITHIN = 4.0  # up to this: given up too soon, a call of a service in demand is made in vain
 FIRST_ANSWER_WITHIN = 2.0  # seconds for a call after none that was silent: after SIGHUP, where news count as
 # told in 4 s, as much is left for others
+SLOWEST_LIST = 64 * 1024  # bytes a second that an answer must bring once ANSWER_WITHIN is over: 3,200 backends
+# in ten seconds at the worst, and a peer that only drips is left
 FIRST_BACK_OFF = 0.05  # seconds before a failed call is made again: doubled each time
 BACK_OFF_PART = 0.25  # of the grace for drains that it is at the most where lists are pushed: what the agent
 # has counts as told there, and the call must be made and answered within the grace
@@ -165,6 +167,7 @@
         self.size = 0  # bytes of the answer, its head and framing included
         self.keep = False
         self.leads, self.lag = False, 0.0  # as the answer's headers say, where it has such
+        self.progressed: Callable[[int], None] = lambda size: None  # told how many bytes have come so far
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is one in all but its bases
@@ -242,12 +245,34 @@
             self.fail(BadList(str(error)))
         self.size += len(data)
         if self.size > self.most:
-            self.fail(BadList("an oversized list"))
+            return self.fail(BadList("an oversized list"))
+        return self.progressed(self.size)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.fail(ConnectionError("the connection ended"))
 
 
+class AnswerProgress:
+    """Moves the end of a call's time on while its answer comes: a long list is slow, and not silent."""
+
+    def __init__(self, limit: asyncio.Timeout, silent_after: float) -> None:
+        """`silent_after`: seconds without a byte from which the answer counts as broken off."""
+        self.limit, self.silent_after = limit, silent_after
+        self.loop = asyncio.get_running_loop()
+        self.first_byte_at: float | None = None
+
+    def note(self, size: int) -> None:
+        """`size`: bytes of the answer that have come so far."""
+        now = self.loop.time()
+        if self.first_byte_at is None:
+            self.first_byte_at = now
+        silent_at = now + self.silent_after
+        too_slow_at = self.first_byte_at + ANSWER_WITHIN + size / SLOWEST_LIST
+        before = self.limit.when()
+        if before is not None and not self.limit.expired():
+            self.limit.reschedule(max(before, min(silent_at, too_slow_at)))
+
+
 class Discovery:
     """Follows the list for as long as it runs, and tells every answer in order."""
 
@@ -375,7 +400,11 @@
                 finally:
                     self.dialling = None
             connection = self.connection
-            body = await connection.ask(target, f"{self.address[0]}:{self.address[1]}")
+            connection.progressed = AnswerProgress(limit, self.overdue).note
+            try:
+                body = await connection.ask(target, f"{self.address[0]}:{self.address[1]}")
+            finally:
+                connection.progressed = lambda size: None
         if not connection.keep:
             self.drop()
         listing = parse_listing(body)
--- a/tests/test_incident_drain.py
+++ b/tests/test_incident_drain.py
@@ -10,7 +10,10 @@
 import pathlib
 import time
 
+import pytest
+
 from embersill.lab.soak.deployment import GRACE
+from embersill.net import discovery
 from tests.bed import run
 from tests.soak_bed import SoakBed, soak_bed
 
@@ -49,3 +52,42 @@
             assert not late, f"{len(late)} sends, the last {max(late):.2f} s after the end of the grace"
 
     run(test)
+
+
+@pytest.mark.parametrize(("piece", "every", "ends_within"), [
+    (0, 0.0, 0.15),  # silent after its first byte
+    (1, 0.02, 0.45),  # drips for ever: too slow, though never silent
+])
+def test_an_answer_that_does_not_come_on_is_given_up(
+    piece: int, every: float, ends_within: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Against a list that takes long, an answer that stops or only drips must not be waited for."""
+    monkeypatch.setattr(discovery, "ANSWER_WITHIN", 0.3)
+    monkeypatch.setattr(discovery, "SLOWEST_LIST", 1000)
+
+    async def test() -> None:
+        began = time.monotonic()
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.1) as limit:
+                progress, size = discovery.AnswerProgress(limit, 0.1), 1
+                progress.note(size)
+                while True:
+                    await asyncio.sleep(every or 60.0)
+                    size += piece
+                    progress.note(size)
+        assert time.monotonic() - began < ends_within + SLACK
+
+    run(test)
+
+
+def test_an_answer_that_comes_on_is_waited_for(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(discovery, "ANSWER_WITHIN", 0.3)
+
+    async def test() -> None:
+        async with asyncio.timeout(0.1) as limit:
+            progress = discovery.AnswerProgress(limit, 0.1)
+            for pieces in range(1, 31):
+                progress.note(pieces * discovery.SLOWEST_LIST)
+                await asyncio.sleep(0.03)
+
+    run(test)
