Reproduce an attempt for a client that has gone, as a test known to be red

Evidence, no mend yet. A request and its client's end come while the gateway is held up for 0.25 s (SIGSTOP and SIGCONT on a real process): it reads the request first and begins an attempt 0.25 s after the close. Any turn of the loop of over 0.1 s has the same effect, as timers and answers of backends are served before a client's end that waits behind them.

--- a/embersill/net/discovery.py
+++ b/embersill/net/discovery.py
@@ -41,7 +41,7 @@
 ANSWER_WITHIN = 4.0  # up to this: given up too soon, a call of a service in demand is made in vain
 FIRST_ANSWER_WITHIN = 2.0  # seconds for a call after none that was silent: after SIGHUP, where news count as
 # told in 4 s, as much is left for others
-SLOWEST_LIST = 64 * 1024  # bytes a second that an answer must bring once ANSWER_WITHIN is over: 3,200 backends
+SLOWEST_LIST = 64 * 1024  # bytes a second that an answer must bring once ANSWER_WITHIN is over: 3,200 come
 # in ten seconds at the worst, and a peer that only drips is left
 FIRST_BACK_OFF = 0.05  # seconds before a failed call is made again: doubled each time
 BACK_OFF_PART = 0.25  # of the grace for drains that it is at the most where lists are pushed: what the agent
--- /dev/null
+++ b/tests/test_incident_lost.py
@@ -0,0 +1,37 @@
+"""Incident of 2026-12: attempts that begin after their client has gone.
+
+Real processes over loopback. The gateway is held up for a moment, as by a long turn of its loop or by the
+scheduler; what it then reads first makes it send, and the client's end stands behind that.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import signal
+
+from tests.bed import run
+from tests.soak_bed import soak_bed
+
+HELD_UP = 0.25  # seconds
+
+
+def test_no_first_attempt_begins_for_a_client_that_has_gone(tmp_path: pathlib.Path) -> None:
+    """A request and its client's end come while the gateway is held up."""
+
+    async def test() -> None:
+        async with soak_bed(tmp_path, 4) as bed:
+            assert await bed.ask("before") == 200
+            _, writer = await bed.connect()
+            await asyncio.sleep(0.05)
+            bed.gateway.signal(signal.SIGSTOP)
+            writer.write(bed.text("gone"))
+            await asyncio.sleep(0.02)
+            writer.close()
+            await asyncio.sleep(HELD_UP)
+            bed.gateway.signal(signal.SIGCONT)
+            await asyncio.sleep(0.3)
+            assert not bed.requests["gone"].attempts
+            assert await bed.ask("after") == 200
+
+    run(test)
