Ask for a client's end right before each attempt is written

Cause: an attempt is written as soon as the event before it is read (clients.py on_message_complete, driver.py send, backends.py carry); the client's end may wait behind that in the same turn of the loop, and after a turn or a hold-up of over 0.1 s that breaks the rule. Ruled out: paused connections (looked at every 40 ms).

Change: carry, the one place that writes, asks the kernel whether the client's connection has ended, and whether the attempt's time is over; then nothing is written, and all requests of that connection end.

Class: a decision taken on what was read, while newer facts wait unread.

--- a/embersill/net/backends.py
+++ b/embersill/net/backends.py
@@ -50,15 +50,17 @@
     """One attempt: what to write, where to, and what became of it. `done` is called exactly once."""
 
     __slots__ = (
-        "backend", "body", "connection", "done", "ended", "head", "passing", "patience", "pool", "sent_at",
-        "timer", "until", "upload", "write_by",
+        "backend", "body", "connection", "done", "ended", "head", "is_abandoned", "passing", "patience",
+        "pool", "sent_at", "timer", "until", "upload", "write_by",
     )
 
     def __init__(
         self, backend: str, head: bytes, body: bytes, sent_at: float, until: float,
         done: Callable[[Attempt, Answer], None], passing: Passing, upload: Upload | None = None,
-        write_by: float = inf,
+        write_by: float = inf, is_abandoned: Callable[[], bool] = lambda: False,
     ) -> None:
+        # is_abandoned: asked right before it is written, true where its client has gone meanwhile
+        self.is_abandoned = is_abandoned
         # passing: asked where an answer goes that is passed on as it comes, with its headers and length
         self.passing, self.upload = passing, upload
         self.patience = until - sent_at  # from the last byte of a body that is passed on
@@ -175,7 +177,9 @@
     def carry(self, attempt: Waiter, wait: float) -> None:
         assert self.transport is not None and isinstance(attempt, Attempt)
         attempt.pool = None
-        if self.pool.clock() >= attempt.write_by:  # its timer is due, and this came before it
+        # after a hold-up, what comes first may be neither its timer nor its client's end
+        last = attempt.write_by if attempt.upload is not None else min(attempt.write_by, attempt.until)
+        if self.pool.clock() >= last or attempt.is_abandoned():
             self.pool.put_back(self)
             return attempt.end(Answer(Outcome.NOT_SENT))
         self.attempt, attempt.connection = attempt, self
--- a/embersill/net/clients.py
+++ b/embersill/net/clients.py
@@ -203,6 +203,13 @@
         exchanges = self.connection.exchanges
         return bool(exchanges) and exchanges[0] is self and not self.connection.stuck
 
+    def client_has_gone(self) -> bool:
+        """Asks the kernel: the loop tells of an end only after what it had to tell before."""
+        ended = self.connection.has_ended()
+        if ended:
+            self.connection.left_unread()
+        return ended
+
     def finish(self) -> None:
         if self.chunked:
             self.pieces.append(b"0\r\n\r\n")
@@ -614,7 +621,8 @@
         """Its end has come behind bytes that are not read for now."""
         if self.exchanges and self.transport is not None:
             self.client_left()
-            self.transport.abort()
+            if not self.transport.is_closing():
+                self.transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.front.closed(self)
@@ -646,7 +654,6 @@
             return now - self.received > STALLED
         return now - self.idle_since > SETTLED
 
-
     def descriptor(self) -> int:
         assert self.transport is not None
         return int(self.transport.get_extra_info("socket").fileno())
@@ -655,6 +662,11 @@
         """True where something waits in the kernel, perhaps a request that closing would cross."""
         return self.transport is not None and is_readable(self.transport.get_extra_info("socket"))
 
+    def has_ended(self) -> bool:
+        """True where the client has closed or reset its connection, also behind bytes that wait unread."""
+        return self.transport is None or self.transport.is_closing() or bool(
+            ended_unread((self.descriptor(),)))
+
     def can_leave(self) -> bool:
         """True also for one that had its last answer and lingers only for its peer to read that."""
         if self.closing:
--- a/embersill/net/driver.py
+++ b/embersill/net/driver.py
@@ -67,6 +67,8 @@
 
     def begin(self, headers: bytes, length: int | None) -> Sink: ...
 
+    def client_has_gone(self) -> bool: ...
+
 
 class Pending:
     """A request that was taken, until it has its answer and the last of its attempts has ended."""
@@ -238,7 +240,7 @@
             action.backend, pending.call.head, pending.call.body, now, until,
             lambda attempt, answer: self.attempt_ended(pending, place, attempt, answer),
             lambda attempt, headers, length: self.passing(pending, place, headers, length),
-            pending.call.upload, now + action.within,
+            pending.call.upload, now + action.within, lambda: self.is_abandoned(pending),
         )
         pending.attempts.append(attempt)
         pending.out += 1
@@ -246,6 +248,12 @@
             return attempt.end(Answer(Outcome.NOT_SENT))
         return self.dialer.start(attempt)
 
+    def is_abandoned(self, pending: Pending) -> bool:
+        """True where nobody waits for a request any more; its client's end may not have been read yet."""
+        if not pending.over and pending.exchange.client_has_gone():
+            self.client_left(pending.number)  # its exchange may not know its number yet
+        return pending.over
+
     def cancel(self, action: Cancel) -> None:
         pending = self.pending.get(action.request)
         if pending is not None and action.attempt < len(pending.attempts):
--- a/tests/test_incident_lost.py
+++ b/tests/test_incident_lost.py
@@ -10,12 +10,46 @@
 import pathlib
 import signal
 
+from embersill.lab.soak.backends import Behaviour
+from embersill.lab.soak.observations import AttemptEnd
 from tests.bed import run
-from tests.soak_bed import soak_bed
+from tests.peers import SOON
+from tests.soak_bed import SoakBed, soak_bed
 
 HELD_UP = 0.25  # seconds
 
 
+async def until_attempted(bed: SoakBed, call_id: str, times: int = 1) -> None:
+    async with asyncio.timeout(SOON):
+        while len(bed.requests[call_id].attempts) < times:
+            await asyncio.sleep(0.002)
+
+
+def test_no_retry_begins_for_a_client_that_has_gone(tmp_path: pathlib.Path) -> None:
+    """A backend turns the attempt away, then the client closes, both while the gateway is held up."""
+
+    async def test() -> None:
+        async with soak_bed(tmp_path, 4) as bed:
+            warm = await asyncio.gather(*(bed.ask(f"warm-{n}") for n in range(24)))  # leaves idle connections
+            assert set(warm) == {200}
+            for model in bed.backends.models.values():
+                model.behaviour, model.work = Behaviour.REJECT, 0.05
+            _, writer = await bed.connect()
+            writer.write(bed.text("gone"))
+            await until_attempted(bed, "gone")
+            bed.gateway.signal(signal.SIGSTOP)
+            async with asyncio.timeout(SOON):
+                while bed.requests["gone"].attempts[0].end is not AttemptEnd.REJECTED:
+                    await asyncio.sleep(0.002)
+            writer.transport.abort()
+            await asyncio.sleep(HELD_UP)
+            bed.gateway.signal(signal.SIGCONT)
+            await asyncio.sleep(0.5)
+            assert len(bed.requests["gone"].attempts) == 1
+
+    run(test)
+
+
 def test_no_first_attempt_begins_for_a_client_that_has_gone(tmp_path: pathlib.Path) -> None:
     """A request and its client's end come while the gateway is held up."""
 
