Trace requests by their id, list changes, and why connections close; count the loop's lag

Off, a request pays one test for None in each of five places. With it on the cost is not measured yet.

--- a/embersill/__main__.py
+++ b/embersill/__main__.py
@@ -30,6 +30,7 @@
 from embersill.net.driver import Driver
 from embersill.net.handover import Handover
 from embersill.net.lameduck import LameDuck
+from embersill.net.trace import make_trace
 from embersill.settings import Limits, read_aggregation, read_limits, read_pool, read_settings
 
 if TYPE_CHECKING:
@@ -167,6 +168,7 @@
             clock, told.limits.dial_timeout, told.limits.keepalive, free - clients, told.settings.pool,
             told.seed)
         self.driver = Driver(Gateway(told.settings, told.seed, clock()), clock, self.dialer)
+        self.driver.use_trace(make_trace(os.environ, clock))
         self.aggregators = told.aggregators
         self.driver.counter = self.make_counter(told)
         self.driver.list_told(told.known)
--- a/embersill/control.py
+++ b/embersill/control.py
@@ -251,11 +251,11 @@
             return
         if self.handed:
             self.given_up["handed over"] += 1
-            return self.actions.append(Refuse(request.id, self.advice(LEAST_ADVICE)))
+            return self.actions.append(Refuse(request.id, self.advice(LEAST_ADVICE), "handed over"))
         klass, plan = self.classes.get(request.klass), self.plans.get(request.plan)
         if klass is None or plan is None or request.deadline <= self.now:
             self.given_up["unknown or late"] += 1
-            return self.actions.append(Refuse(request.id, self.advice(PERIOD)))
+            return self.actions.append(Refuse(request.id, self.advice(PERIOD), "unknown or late"))
         throttle = self.throttles.get(request.customer) or self.join(request, plan)
         self.jobs[request.id] = job = Job(request, klass, throttle, self.now)
         units = request.units
@@ -930,9 +930,9 @@
         keyed = job.klass.repeats is Repeats.BY_KEY and job.klass.scope is Scope.ALL
         harmless = keyed or job.klass.repeats is Repeats.SAFE
         if job.risky is not None and not harmless:
-            self.actions.append(Fail(job.request.id))
+            self.actions.append(Fail(job.request.id, why))
         else:
-            self.actions.append(Refuse(job.request.id, self.advice(retry_after)))
+            self.actions.append(Refuse(job.request.id, self.advice(retry_after), why))
         self.call_off(job)
         if not job.out:
             self.jobs.pop(job.request.id, None)
--- a/embersill/interface.py
+++ b/embersill/interface.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 from math import inf
 from typing import Any
@@ -284,6 +284,7 @@
 
     request: int
     retry_after: float
+    reason: str = field(default="", compare=False)  # for logs
 
 
 @dataclass(frozen=True, slots=True)
@@ -291,6 +292,7 @@
     """Final answer: failed, with no promise about its effect."""
 
     request: int
+    reason: str = field(default="", compare=False)  # for logs
 
 
 @dataclass(frozen=True, slots=True)
--- a/embersill/net/backends.py
+++ b/embersill/net/backends.py
@@ -51,7 +51,7 @@
 
     __slots__ = (
         "backend", "body", "connection", "done", "ended", "head", "is_abandoned", "passing", "patience",
-        "pool", "sent_at", "timer", "until", "upload", "write_by",
+        "pool", "sent_at", "timer", "until", "upload", "was_written", "write_by",
     )
 
     def __init__(
@@ -71,6 +71,7 @@
         self.pool: Pool | None = None  # where it waits for a connection
         self.timer: asyncio.TimerHandle | None = None
         self.ended = False
+        self.was_written = False  # some of it was handed to a connection, for logs
 
     @property
     def written(self) -> bool:
@@ -182,7 +183,7 @@
         if self.pool.clock() >= last or attempt.is_abandoned():
             self.pool.put_back(self)
             return attempt.end(Answer(Outcome.NOT_SENT))
-        self.attempt, attempt.connection = attempt, self
+        self.attempt, attempt.connection, attempt.was_written = attempt, self, True
         self.start_answer()
         self.counted, self.moved_at = False, self.pool.clock()
         self.transport.write(b"%bX-Budget: %.3f\r\n\r\n%b" % (attempt.head, wait, attempt.body))
--- a/embersill/net/clients.py
+++ b/embersill/net/clients.py
@@ -128,7 +128,7 @@
             first_gateway=first, repeat=headers.get(b"x-again") == b"1",
             head=self.head(method, target, headers, klass.repeats,
                            upload.header if upload is not None else b"Content-Length: %d" % len(body)),
-            body=body, upload=upload,
+            body=body, upload=upload, call_id=headers[b"x-call-id"].decode("ascii"),
         )
 
     def head(self, method: bytes, target: bytes, headers: dict[bytes, bytes], repeats: Repeats,
@@ -250,6 +250,7 @@
         self.head: HeadNormalizer | None = HeadNormalizer()  # between requests and while a head comes
         self.body_left: int | None = None  # bytes of the body that are still to come, where they are known
         self.body_tail = b""  # its last bytes so far, which may begin a blank line
+        self.close_reason = ""  # for logs
         self.start_request()
 
     def start_request(self) -> None:
@@ -262,6 +263,10 @@
         self.bad: BadRequest | None = None
         self.in_doubt = False  # where the request ends, and so what follows it
 
+    def close_for(self, reason: str) -> None:
+        """Notes why the connection ends; the first reason stands."""
+        self.close_reason = self.close_reason or reason
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is one in all but its bases
         self.transport.set_write_buffer_limits(high=self.front.share)
@@ -468,6 +473,7 @@
         if self.ended:
             return
         self.ended = True
+        self.close_for(f"answered {status}: {text}")
         exchange, self.uploader = self.uploader, None
         if exchange is None:
             exchange = Exchange(self, False)
@@ -480,6 +486,7 @@
     def hurry(self, now: float) -> None:
         """Ends the wait for requests that do not come whole, or at all, and for clients that never read."""
         if self.stuck and now - self.stuck_since > STUCK and self.transport is not None:
+            self.close_for("the client reads nothing")
             return self.transport.abort()
         if self.closing or self.ended or self.unread or self.paused:
             return None
@@ -490,7 +497,7 @@
         if self.in_request:
             self.break_off(408, "the request did not come whole")
         elif not (self.asked or self.has_unread()):
-            self.leave()
+            self.leave("no request came")
         return None
 
     def is_full(self) -> bool:
@@ -555,6 +562,7 @@
             pieces, exchange.pieces = exchange.pieces, []
             self.transport.write(b"".join(pieces))
         if exchange.broken:
+            self.close_for("the answer broke off")
             self.exchanges.clear()
             self.ended = self.closing = True
             self.reset()
@@ -577,6 +585,7 @@
         self.pace()
         if self.drained() and self.front.successor(self):
             self.ended = self.closing = True
+            self.close_for("given to the successor")
             self.transport.abort()  # the successor's descriptor keeps the connection up
         else:
             self.front.loop.call_later(MOVE_AGAIN, self.move)
@@ -589,6 +598,7 @@
     def end(self) -> None:
         """Closes after the last answer; the peer may have more on its way, which must not cut it off."""
         self.ended = self.closing = True
+        self.close_for("after its last answer")
         self.idle_since = self.front.clock()
         if self.transport is not None and not self.transport.is_closing():
             if self.paused:
@@ -598,9 +608,10 @@
             self.transport.write_eof()
             asyncio.get_running_loop().call_later(LINGER, self.transport.close)
 
-    def leave(self) -> None:
+    def leave(self, reason: str) -> None:
         """Closes at once what has no request under way."""
         self.ended = self.closing = True
+        self.close_for(reason)
         if self.transport is not None:
             self.transport.close()
 
@@ -612,6 +623,7 @@
     def client_left(self) -> None:
         """Nothing more is begun for it: its requests end, wherever they wait."""
         self.ended = True
+        self.close_for("the client has gone")
         exchanges, self.exchanges = self.exchanges, deque()
         for exchange in exchanges:
             if exchange.number and exchange.text is None and not exchange.done:
@@ -625,6 +637,11 @@
                 self.transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
+        trace = self.front.driver.trace
+        if trace is not None:
+            waiting = sum(e.text is None and not e.done for e in self.exchanges)
+            trace.note("client_connection_closed", reason=self.close_reason or "the client has gone",
+                       error=exc, unanswered=waiting)
         self.front.closed(self)
         self.transport = None
         self.client_left()
@@ -698,6 +715,7 @@
         self.successor: Callable[[ClientConnection], bool] | None = None  # gives a connection to it
         self.elsewhere = 0  # connections of the process before, which count under the same bound
         self.looker = self.loop.call_later(LOOK_EVERY, self.look)
+        self.look_due = clock() + LOOK_EVERY
         self.paused: set[ClientConnection] = set()  # not read for now: their ends are looked for
         self.end_looker: asyncio.TimerHandle | None = None
 
@@ -719,6 +737,8 @@
     def look(self) -> None:
         self.looker = self.loop.call_later(LOOK_EVERY, self.look)
         now = self.clock()
+        self.driver.loop_lag.note(now - self.look_due)
+        self.look_due = now + LOOK_EVERY
         for connection in list(self.connections):
             connection.hurry(now)
 
@@ -816,7 +836,7 @@
         most = MAKE_WAY if peers else 1
         for connection in heapq.nsmallest(most, peers or idle, lambda c: (not c.closing, c.idle_since)):
             if connection.closing or not connection.has_unread():  # a close would cross a request
-                connection.leave()
+                connection.leave("it made way for another")
 
     def pause(self) -> None:
         """Leaves connections in the kernel's queue, where nothing is lost, until there is room again."""
--- a/embersill/net/driver.py
+++ b/embersill/net/driver.py
@@ -26,6 +26,7 @@
 from embersill.net.counter import CounterClient
 from embersill.net.discovery import Listing
 from embersill.net.figures import Figures
+from embersill.net.trace import LoopLag, Trace
 
 EARLY = 0.1  # seconds before the client's end at which the module takes a request to be over: the budget
 # runs from the client's send, the answer has its way back, and the core may be busy with another gateway
@@ -34,6 +35,7 @@
 UPLOAD_WITHIN = 3600.0  # seconds by which the module is told a request ends whose body is still coming: its
 # time starts with the last byte, and the clients' side ends what no longer moves
 LOOK_AGAIN = 0.005  # seconds between looks for the counter's last answers: its patience is some 30 ms
+MOST_TRACED = 64  # entries of an answer of discovery that the trace names one by one
 SCANT = 0.25  # of the budget, at most, that these two may take
 LEAST_LEFT = 0.5  # seconds that a process which stops must have left for a request to be taken: with less it
 # would be sent on for an answer that comes too late, and a gateway that stays can serve it
@@ -58,6 +60,7 @@
     head: bytes  # request line and headers for a backend, but for the budget and the blank line
     body: bytes
     upload: Upload | None = None  # the body, where it is passed on as it comes
+    call_id: str = ""  # X-Call-Id, for logs
 
 
 class Exchange(Protocol):
@@ -73,13 +76,15 @@
 class Pending:
     """A request that was taken, until it has its answer and the last of its attempts has ended."""
 
-    __slots__ = ("attempts", "call", "end", "exchange", "guard", "number", "out", "over", "sink")
+    __slots__ = ("attempts", "call", "end", "exchange", "guard", "last_outcome", "number", "out", "over",
+                 "sink")
 
     def __init__(self, number: int, call: Call, exchange: Exchange) -> None:
         self.number, self.call, self.exchange = number, call, exchange
         self.end = call.received + UPLOAD_WITHIN if call.upload else self.end_from(call.received)
         self.attempts: list[Attempt] = []
         self.out, self.over = 0, False
+        self.last_outcome = ""  # of its attempts, for logs: why there is a further one
         self.guard: asyncio.TimerHandle | None = None
         self.sink: Sink | None = None  # an answer is being passed on
 
@@ -100,10 +105,12 @@
         self.counting = 0  # calls of the counter that were not told of yet
         self.taken = 0
         self.ends_at = inf  # when all must be answered, once the process stops
+        self.list_told_at = clock()
         self.serving: set[str] = set()  # backends that the list shows as serving
         self.events: deque[tuple[Event, float]] = deque()
         self.handling = False
-        self.figures = Figures(gateway.classes)
+        self.figures, self.loop_lag = Figures(gateway.classes), LoopLag()
+        self.trace: Trace | None = None
         self.list_figures: Tally[str] = Tally()
         self.list_age: Callable[[], float] | None = None  # told where the list has several addresses
         self.reporter = self.loop.call_later(REPORT_EVERY, self.report)
@@ -112,6 +119,13 @@
             Cancel: self.cancel, Count: self.count, HangUp: self.hang_up, Size: self.size, Warm: self.warm,
         }
 
+    def use_trace(self, trace: Trace | None) -> None:
+        """Traces requests, the list and connections from now on, if there is a trace."""
+        self.trace = trace
+        if trace is not None:
+            self.pool.closed_for = lambda backend, reason: trace.note(
+                "backend_connection_closed", backend=backend, reason=reason)
+
     # what happened
 
     def take(self, call: Call, exchange: Exchange) -> int:
@@ -125,6 +139,9 @@
         pending.end = min(pending.end, self.ends_at - GUARD)
         self.pending[pending.number] = pending
         self.unanswered += 1
+        if self.trace is not None:
+            self.trace.note("request_taken", request=call.call_id, klass=call.klass, customer=call.customer,
+                            budget=call.budget, read_late=self.clock() - call.received)
         if call.upload is None:
             self.set_guard(pending, call.received)
         self.post(Request(
@@ -161,7 +178,7 @@
         pending = self.pending.get(number)
         if pending is not None and not pending.over:
             self.figures.others["client left"] += 1
-            self.finish(pending)
+            self.finish(pending, reason="client left")
             self.post(ClientLeft(number))
 
     def list_told(self, listing: Listing) -> None:
@@ -171,6 +188,9 @@
         for address, entry in serving.items():
             self.pool.set_address(address, entry.address, entry.backend.started)
         self.serving = set(serving) if listing.whole else self.serving - named.keys() | serving.keys()
+        if self.trace is not None:
+            self.trace_list(listing)
+        self.list_told_at = self.clock()
         self.post(BackendList(listing.kind, tuple(entry.backend for entry in named.values())))
         for address in named:
             if address not in serving:
@@ -178,6 +198,19 @@
         if listing.whole:
             self.pool.forget_others(named)
 
+    def trace_list(self, listing: Listing) -> None:
+        if self.trace is None:
+            return
+        self.trace.note("list_told", version=listing.generation, kind=listing.kind.value,
+                        entries=len(listing.entries), age=self.age_of_list())
+        for entry in listing.entries[:MOST_TRACED]:
+            self.trace.note("backend_told", backend=entry.backend.address, version=listing.generation,
+                            state=entry.backend.status.value)
+
+    def age_of_list(self) -> float:
+        """Seconds since the last answer of discovery was taken in."""
+        return self.clock() - self.list_told_at
+
     def counter_told(self, counted: Counted) -> None:
         self.counting -= 1
         self.figures.others[f"counter {counted.outcome.value}"] += 1
@@ -189,7 +222,12 @@
 
     def attempt_ended(self, pending: Pending, place: int, attempt: Attempt, answer: Answer) -> None:
         pending.out -= 1
+        pending.last_outcome = answer.outcome.value
         self.figures.others[f"attempt {answer.outcome.value}"] += 1
+        if self.trace is not None:
+            self.trace.note("attempt_ended", request=pending.call.call_id, attempt=place,
+                            backend=attempt.backend, outcome=answer.outcome.value,
+                            after=self.clock() - attempt.sent_at, written=attempt.was_written)
         if pending.sink is not None and not pending.over:
             self.finish(pending, 200 if answer.outcome is Outcome.SERVED else 502)
         elif answer.outcome is Outcome.SERVED and not pending.over:
@@ -242,6 +280,10 @@
             lambda attempt, headers, length: self.passing(pending, place, headers, length),
             pending.call.upload, now + action.within, lambda: self.is_abandoned(pending),
         )
+        if self.trace is not None:
+            reason = pending.last_outcome or "first"
+            self.trace.note("attempt_sent", request=pending.call.call_id, attempt=place, reason=reason,
+                            backend=action.backend, left=until - now, list_age=self.age_of_list())
         pending.attempts.append(attempt)
         pending.out += 1
         if pending.over or now >= pending.end:
@@ -261,10 +303,10 @@
 
     def refuse(self, action: Refuse) -> None:
         advice = b"Retry-After: %.3f\r\n" % action.retry_after if action.retry_after > 0 else b""
-        self.finish_number(action.request, 429, b"", advice)
+        self.finish_number(action.request, 429, b"", advice, action.reason)
 
     def fail(self, action: Fail) -> None:
-        self.finish_number(action.request, 502)
+        self.finish_number(action.request, 502, reason=action.reason)
 
     def set_timer(self, action: SetTimer) -> None:
         due = self.clock() + action.delay
@@ -287,15 +329,23 @@
 
     # final answers
 
-    def finish_number(self, number: int, status: int, body: bytes = b"", headers: bytes = b"") -> None:
+    def finish_number(
+        self, number: int, status: int, body: bytes = b"", headers: bytes = b"", reason: str = ""
+    ) -> None:
         pending = self.pending.get(number)
         if pending is not None and not pending.over:
-            self.finish(pending, status, body, headers)
+            self.finish(pending, status, body, headers, reason)
             self.forget(pending)
 
-    def finish(self, pending: Pending, status: int = 0, body: bytes = b"", headers: bytes = b"") -> None:
+    def finish(
+        self, pending: Pending, status: int = 0, body: bytes = b"", headers: bytes = b"", reason: str = ""
+    ) -> None:
         """The one place where a request ends; with no status its client is gone and hears nothing."""
         pending.over = True
+        if self.trace is not None:
+            self.trace.note("request_ended", request=pending.call.call_id, status=status,
+                            reason=reason or "answered", attempts=len(pending.attempts),
+                            after=self.clock() - pending.call.received)
         self.unanswered -= 1
         if pending.guard is not None:
             pending.guard.cancel()
@@ -321,7 +371,7 @@
         """The guard: the module should have ended this request by now, and its client's time is up."""
         if not pending.over:
             log.warning("request %d had no answer from the module at its end", pending.number)
-            self.finish(pending, 504)
+            self.finish(pending, 504, reason="guard")
             self.post(ClientLeft(pending.number))
             self.forget(pending)
 
@@ -329,7 +379,7 @@
         """One line of figures for the operator: what ended since the last one, how, and what is open."""
         self.reporter = self.loop.call_later(REPORT_EVERY, self.report)
         given_up = Tally({f"gave up {why}": n for why, n in self.gateway.given_up.items()})
-        text = self.figures.since(given_up, self.pool.figures + self.list_figures)
+        text = self.figures.since(given_up, self.pool.figures + self.list_figures + self.loop_lag.counts)
         if text:
             listed, down = len(self.gateway.servers), self.gateway.down()
             age = f", list {self.list_age():.0f} s old" if self.list_age else ""
@@ -399,6 +449,6 @@
             if pending.attempts:
                 self.rescue(pending)
             elif not pending.over:
-                self.finish(pending, 503, b"", ELSEWHERE)
+                self.finish(pending, 503, b"", ELSEWHERE, "the process ends")
                 self.post(ClientLeft(pending.number))
                 self.forget(pending)
--- a/embersill/net/pool.py
+++ b/embersill/net/pool.py
@@ -119,6 +119,7 @@
         self.keeping = True  # connections are kept for the next attempt
         self.figures: Tally[str] = Tally()
         self.open_failed: Callable[[str, int], None] = lambda backend, up: None
+        self.closed_for: Callable[[str, str], None] = lambda backend, reason: None  # told of every close here
 
     def idle_limit(self, place: Place) -> float:
         margin = self.settings.margin
@@ -416,6 +417,7 @@
 
     def end(self, link: Link, why: str) -> None:
         self.figures[f"pool {why}"] += 1
+        self.closed_for(link.backend, why)
         link.state = State.CLOSED
         link.shut()
 
