File the serving backends in an index, so that a change and a request cost no look at each

Cause: control.py went through all backends at every change (put_in_order, sizes_of, the copy of the names in list_changed), at every keyed repeat (the filter by cell), in each search for a fit one, four times a second in weigh, and for each line of figures (down).

Change: serving_set.py keeps the serving ones by zone, cell, rank and kind in constant time a change. The draw weighs only those that this gateway uses, less often where there are over 256 of them; a search looks at 1,024 from a random one on; failing ones are counted from those that failed.

--- a/embersill/control.py
+++ b/embersill/control.py
@@ -6,7 +6,7 @@
 import zlib
 from bisect import bisect
 from collections import Counter, deque
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import replace
 from itertools import accumulate
 from math import ceil, exp, gcd, inf, log2, sqrt
@@ -19,6 +19,7 @@
     Subscribe, Suspend, TimerDue, Tuned, Uploaded, Warm,
 )
 from embersill.records import Attempt, Job
+from embersill.serving_set import ServingSet
 from embersill.settings import check
 from embersill.state_transfer import end_predecessor, restore_state, take_state
 
@@ -45,6 +46,7 @@
 TRY_EVERY = 1.0  # seconds after a failure from which a failing one is tried again where no other has room
 SHUN = 0.5  # what is held against a backend from which another draw is made in its place
 GREETINGS = 12.0  # first requests a second for a restored backend, of all gateways together, at the most
+GREETINGS_PART = 0.8  # of what is put down to chance at a cold backend: the draws of all have theirs as well
 GREET_EVERY = 1.0  # seconds between the lone requests for a restored backend, until it has answered one
 FULL_FOR = 15.0  # seconds a backend that turned a plan or a class away is passed over for it
 LATE_AT = 0.35  # of the aim from which an answer counts as late: short queues don't push a backend over
@@ -70,6 +72,9 @@
 COVER = 8  # gateways that use a backend, at the least: it bears the loss of some, and is drawn on evenly
 APERTURE = 12  # backends that a gateway uses, at the least; one more costs a connection for little choice
 WEIGH_EVERY = 0.25  # seconds that the draw's weights may be old: a cold backend gains 1 to 3% of its full
+FEW_TO_WEIGH = 256  # backends that a gateway uses up to which that holds, and a change is weighed at once;
+# for more of them the time grows in step, so that weighing costs the same
+SCAN_MOST = 1024  # backends looked at, from a random one on, where none of those drawn is fit
 DRAWS = 8  # draws for these: with half of the fleet unfit one in 256 fails, and a scan is made
 LEAST_ADVICE = 0.05  # seconds told to come back in at the least: a try at once would find the same
 WIDE = 4  # gateways from which on demand is too uneven over them for a slice that follows it by seconds
@@ -181,7 +186,8 @@
         return settings.cold_from + (1.0 - settings.cold_from) * age / settings.warm_within
 
     def fade(self, now: float) -> None:
-        self.bad *= 0.5 ** ((now - self.touched) / FORGET)
+        if self.bad:
+            self.bad *= 0.5 ** ((now - self.touched) / FORGET)
         self.touched = now
 
 
@@ -198,8 +204,10 @@
         self.actions: list[Action] = []
         self.given_up: Counter[str] = Counter()  # requests this gateway ended itself, by reason
         self.servers: dict[str, Server] = {}
-        self.order: list[Server] = []  # those that serve, for drawing
-        self.weights: list[float] = []  # theirs, summed up, as they were at most WEIGH_EVERY ago
+        self.serving = ServingSet(frozenset(
+            c.scope for c in settings.classes if c.repeats is Repeats.BY_KEY))
+        self.drawable: list[Server] = []  # those of them that this gateway uses, when they were last weighed
+        self.weights: list[float] = []  # theirs, summed up
         self.weigh_at = now
         self.known: set[str] = set()  # ids of all backends that were ever listed
         self.banned: set[str] = set()  # ids that staff took out, whatever the list says of them
@@ -207,6 +215,7 @@
         self.handed = False  # a successor has all that is not under way: requests that still come are its
         self.before: list[tuple[Any, str, int]] = []  # what the process before has out, by where it counts
         self.drawn: Server | None = None  # the restored backend that gets its first request
+        self.blamed: dict[Server, None] = {}  # those that failed, until that is forgotten
         self.sizes: dict[str, float] = {}  # mean rating of a kind of machine against that of all that serve
         self.kinds: dict[str, float] = {}  # answer time of a kind of machine against the fleet's
         self.jobs: dict[int, Job] = {}
@@ -225,6 +234,11 @@
         # part of the counted thin requests that had the credit, by plan and whether the slice covered them
         self.granted = {(p.name, sure): float(sure) for p in settings.plans for sure in (False, True)}
 
+    @property
+    def order(self) -> Sequence[Server]:
+        """Those that serve, for drawing."""
+        return self.serving.all.items
+
     def handle(self, event: Event, now: float) -> list[Action]:
         self.now = max(self.now, now)
         self.actions = []
@@ -527,15 +541,16 @@
 
     def choose(self, job: Job) -> Server | None:
         """The better of two that are drawn; more replace the unfit, and those that failed unless all did."""
-        pool = self.order
+        pool, weighted = self.order, True
         if job.risky is not None and job.klass.repeats is Repeats.BY_KEY:
-            pool = [s for s in pool if group_of(job.klass, s) == group_of(job.klass, job.risky.server)]
+            weighted = False
+            pool = self.serving.group(job.klass.scope, group_of(job.klass, job.risky.server))
         best, least, found = None, 0.0, 0
         self.drawn = self.greeted(job)
         if self.drawn is not None:
             return self.drawn
         for _ in range(DRAWS if pool else 0):
-            server = self.draw(pool)
+            server = self.draw(pool, weighted)
             cost = self.cost(job, server) if self.may_send(job, server) else -1.0
             if cost >= 0 and (best is None or cost < least):
                 best, least = server, cost
@@ -543,45 +558,66 @@
             if found >= CHOICES and least < SHUN * job.klass.aim:
                 break
         if best is None or self.held_against(best) >= FAILING:
-            # what fails at once has always room: it draws all that the others are too full for
-            sound = [s for s in pool if self.held_against(s) < FAILING]
-            fit = [s for s in sound or pool if self.may_send(job, s)]
-            best = self.random.choice(fit) if fit else None  # the first of a list is the same at all gateways
-            if best is None:  # one that failed some time ago may be well again: a lone request tells
-                tried = [s for s in pool if not s.flight and self.now - s.failed >= TRY_EVERY]
-                best = next((s for s in tried if self.may_send(job, s)), None)
+            best = self.find_fit(job, self.some_of(pool))
         return best
 
-    def draw(self, pool: list[Server]) -> Server:
+    def find_fit(self, job: Job, pool: Sequence[Server]) -> Server | None:
+        """One that may be sent to, where draws found none that is sound: looks at each of the pool."""
+        # what fails at once has always room: it draws all that the others are too full for
+        sound = [s for s in pool if self.held_against(s) < FAILING]
+        fit = [s for s in sound or pool if self.may_send(job, s)]
+        if fit:
+            return self.random.choice(fit)  # the first of a list is the same at all gateways
+        # one that failed some time ago may be well again: a lone request tells
+        tried = [s for s in pool if not s.flight and self.now - s.failed >= TRY_EVERY]
+        return next((s for s in tried if self.may_send(job, s)), None)
+
+    def some_of(self, pool: Sequence[Server]) -> Sequence[Server]:
+        """The pool, or as much of it from a random place on as is looked at for one request."""
+        if len(pool) <= SCAN_MOST:
+            return pool
+        begin = int(self.random.random() * len(pool))
+        return [*pool[begin:begin + SCAN_MOST], *pool[:max(begin + SCAN_MOST - len(pool), 0)]]
+
+    def draw(self, pool: Sequence[Server], weighted: bool) -> Server:
         """One of the pool; of all that serve by weight, as a cold backend has places for few gateways.
 
         What is out from one of forty gateways tells little of a backend's load: the draw must spread it.
         """
-        if pool is not self.order:
+        if not weighted:
             return pool[int(self.random.random() * len(pool))]
-        if self.now >= self.weigh_at:
-            self.weigh_at = self.now + WEIGH_EVERY
-            self.capacity = max(sum(s.cold_share(self.now, self.settings) for s in pool), EPS)
-            self.weights = list(accumulate(self.weigh(pool)))
-        total = self.weights[-1]
+        if self.now >= self.weigh_at or self.serving.changed and len(self.drawable) <= FEW_TO_WEIGH:
+            self.weigh()
+        total = self.weights[-1] if self.weights else 0.0
         if total <= 0:
             return pool[int(self.random.random() * len(pool))]
-        return pool[bisect(self.weights, self.random.random() * total, 0, len(pool) - 1)]
+        place = bisect(self.weights, self.random.random() * total, 0, len(self.drawable) - 1)
+        return self.drawable[place]
 
-    def weigh(self, pool: list[Server]) -> list[float]:
+    def weigh(self) -> None:
         """How often each is drawn: by a part of the gateways, which keep their connections there in use.
 
         The part grows for a gateway that finds too few sound backends in its own.
         """
-        width = self.cover(pool)
+        shares = [(s, s.cold_share(self.now, self.settings)) for s in self.serving.cold]
+        self.serving.cold = {server: None for server, share in shares if share < 1.0}
+        warm = len(self.serving) - len(shares)
+        self.capacity = max(warm + sum(share for _, share in shares), EPS)
+        self.sizes = self.serving.sizes()
+        width = self.cover(self.order)
         while True:
-            weights = [self.weight(s, width) for s in pool]
-            sound = sum(w > 0 and self.held_against(s) < SHUN for s, w in zip(pool, weights, strict=True))
+            self.drawable = self.serving.ranked_below(width, self.settings.gateways)
+            weights = [self.weight(s, width) for s in self.drawable]
+            sound = sum(w > 0 and self.held_against(s) < SHUN
+                        for s, w in zip(self.drawable, weights, strict=True))
             if sound >= APERTURE / 2 or width >= self.settings.gateways:
-                return weights
+                break
             width *= 2
+        self.weights = list(accumulate(weights))
+        self.weigh_at = self.now + WEIGH_EVERY * max(1.0, len(self.drawable) / FEW_TO_WEIGH)
+        self.serving.changed = False
 
-    def cover(self, pool: list[Server]) -> int:
+    def cover(self, pool: Sequence[Server]) -> int:
         """Gateways that use each backend."""
         return max(COVER, ceil(APERTURE * self.settings.gateways / max(len(pool), 1)))
 
@@ -661,7 +697,8 @@
         """Seconds in which all gateways greet a restored, cold backend once: no more than is chance."""
         pace = GREETINGS
         if self.paced > 0 and self.settings.overload_for > 0:
-            pace = min(pace, self.cold_chance(self.settings.cold_from) / self.settings.overload_for)
+            chance = GREETINGS_PART * self.cold_chance(self.settings.cold_from)
+            pace = min(pace, chance / self.settings.overload_for)
         return self.settings.gateways / pace
 
     def cold_calls(self, share: float) -> float:
@@ -908,6 +945,7 @@
             server.failed = self.now
             held = BROKEN_HELD if outcome is Outcome.BROKEN else 1.0
             server.bad = max(min(2 * server.bad + held, WORST), WORST / 2 if dead else 0.0)
+            self.blamed[server] = None
             return None
         server.bad /= 2
         self.paced = self.fade_pace() + 1.0
@@ -991,36 +1029,49 @@
         if event.kind is ListKind.FAILED:
             delay = self.settings.ask_every / 8 * (0.5 + self.random.random())
             return self.actions.append(SetTimer(max(delay, EPS), "list"))
-        before = set(self.servers)
         if event.kind is not ListKind.CHANGES:
             named = {b.address for b in event.backends}
-            self.servers = {a: s for a, s in self.servers.items() if a in named}
+            for address in [a for a in self.servers if a not in named]:
+                self.serving.discard(self.servers.pop(address))
         for backend in event.backends:
-            server = self.servers.get(backend.address)
-            self.known.add(backend.address)
-            if backend.status is Status.GONE:
-                self.servers.pop(backend.address, None)
-            elif server is None or server.backend.started != backend.started:
-                self.servers[backend.address] = self.unknown(backend)
-            else:
-                server.backend = backend
-        self.put_in_order()
-        if self.settings.pool.warm:
-            for address in [a for a in self.servers if a not in before]:
-                self.actions.append(SetTimer(max(WARM_OVER * self.random.random(), EPS), "w" + address))
+            self.take_entry(backend)
         if event.kind is ListKind.REMEMBERED and not self.settings.list_pushed:
             self.actions.append(Subscribe())
 
+    def take_entry(self, backend: Backend) -> None:
+        """What the list says of one backend."""
+        address, server = backend.address, self.servers.get(backend.address)
+        self.known.add(address)
+        if server is not None and server.backend == backend:
+            return
+        if server is not None:
+            self.serving.discard(server)
+        if backend.status is Status.GONE:
+            self.servers.pop(address, None)
+            return
+        if server is None or server.backend.started != backend.started:
+            if server is None and self.settings.pool.warm:
+                self.actions.append(SetTimer(max(WARM_OVER * self.random.random(), EPS), "w" + address))
+            server = self.servers[address] = self.unknown(backend)
+        server.backend = backend
+        self.let_serve(server)
+
+    def let_serve(self, server: Server) -> None:
+        """Has a server drawn from now on, unless it is not to be."""
+        if server.backend.status is Status.SERVING and server.backend.address not in self.banned:
+            self.serving.add(server, server.cold_share(self.now, self.settings) < 1.0)
+
     def unknown(self, backend: Backend) -> Server:
         """A backend of which nothing is learned yet."""
         place = place_at(backend.address, self.settings)
         return Server(backend, max(1.0, START_LIMIT / self.settings.gateways), self.now, place)
 
     def put_in_order(self) -> None:
-        self.order = [s for a, s in self.servers.items()
-                      if s.backend.status is Status.SERVING and a not in self.banned]
-        self.sizes = sizes_of([s.backend for s in self.order])
-        self.weigh_at = self.now
+        """Files all servers anew, after what may have changed any of them."""
+        self.serving = ServingSet(self.serving.scopes)
+        for server in self.servers.values():
+            self.let_serve(server)
+        self.blamed = {s: None for s in self.servers.values() if s.bad > 0}
 
     def ban(self, event: Suspend | Restore) -> None:
         """Takes a backend out by hand, or ends that; one that comes back is cold, as if just started."""
@@ -1028,15 +1079,18 @@
         if isinstance(event, Suspend) and address in self.known:
             self.banned.add(address)
             self.greet.pop(address, None)
+            if server is not None:
+                self.serving.discard(server)
             self.actions.append(HangUp(address))
         elif isinstance(event, Restore) and address in self.banned:
             self.banned.discard(address)
             place = place_at(address, self.settings) / self.settings.gateways
             self.greet[address] = self.now + place * self.greeting_round()
             if server is not None:
-                self.servers[address] = self.unknown(server.backend)
-                self.servers[address].started = self.now
-        self.put_in_order()
+                self.serving.discard(server)
+                made = self.servers[address] = self.unknown(server.backend)
+                made.started = self.now
+                self.let_serve(made)
 
     def hand_over(self, now: float) -> dict[str, Any]:
         """All that a successor must know; from here on this gateway only ends what it holds."""
@@ -1052,11 +1106,17 @@
         self.put_in_order()
         if "gateway" in state:
             restore_state(self, state)
+            self.put_in_order()
 
     def down(self) -> int:
         """How many listed backends are avoided at present: by hand, by the list, or for their failures."""
-        serving = set(self.order)  # a list is searched from its start: at 8,500 that held all up for 0.9 s
-        return sum(s not in serving or self.held_against(s) >= FAILING for s in self.servers.values())
+        failing = 0
+        for server in list(self.blamed):
+            if self.held_against(server) < FAILING:
+                del self.blamed[server]
+            else:
+                failing += server in self.serving
+        return len(self.servers) - len(self.serving) + failing
 
 
 HANDLERS: dict[type[Event], Callable[[Gateway, Any], None]] = {
@@ -1077,17 +1137,6 @@
     return limit + OUT_MORE if out + 1 > limit / 2 else limit
 
 
-def sizes_of(backends: list[Backend]) -> dict[str, float]:
-    """The mean rating of each kind against that of all; a single backend's may be rough, or of a moment."""
-    ratings: dict[str, list[float]] = {}
-    for backend in backends:
-        ratings.setdefault(backend.kind, []).append(max(backend.rating, 0.0))
-    mean = sum(map(sum, ratings.values())) / max(len(backends), 1)
-    if mean <= 0 or len(ratings) < 2:
-        return {}
-    return {kind: sum(rated) / len(rated) / mean or 1.0 for kind, rated in ratings.items()}
-
-
 def place_at(address: str, settings: Settings) -> int:
     """This gateway's place among all at a backend: another at each, and known without a word.
 
--- /dev/null
+++ b/embersill/serving_set.py
@@ -0,0 +1,131 @@
+"""The backends that may be drawn, indexed so that a change of one costs the same however many there are.
+
+Nothing is decided here. A list of backends changes by single entries, hundreds a second in a release; each
+is put in or taken out in constant time, and keeps its place under its zone, cell and rank.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from embersill.interface import Scope
+
+if TYPE_CHECKING:
+    from embersill.control import Server
+
+
+class IndexedList:
+    """A list of servers without a lasting order: adding, removing and drawing take constant time."""
+
+    __slots__ = ("items", "positions")
+
+    def __init__(self) -> None:
+        self.items: list[Server] = []
+        self.positions: dict[Server, int] = {}
+
+    def add(self, server: Server) -> None:
+        self.positions[server] = len(self.items)
+        self.items.append(server)
+
+    def remove(self, server: Server) -> None:
+        """The last one takes its position. KeyError where it is not in."""
+        position = self.positions.pop(server)
+        last = self.items.pop()
+        if last is not server:
+            self.items[position] = last
+            self.positions[last] = position
+
+
+@dataclass(slots=True)
+class KindRatings:
+    """The ratings of the machines of one kind, summed up."""
+
+    total: float = 0.0
+    machines: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Filed:
+    """Under what a server stands, so that it is found again whatever the list says of it by then."""
+
+    kind: str
+    rating: float
+    groups: tuple[IndexedList, ...]
+
+
+class ServingSet:
+    """The servers that serve and are not taken out by hand."""
+
+    def __init__(self, scopes: frozenset[Scope]) -> None:
+        """`scopes`: those in which backends drop repeats, by which servers have to be found."""
+        self.scopes = scopes
+        self.all = IndexedList()
+        self.filed: dict[Server, Filed] = {}
+        self.groups: dict[tuple[Scope, str | int], IndexedList] = {}
+        self.ranks: dict[int, IndexedList] = {}  # by this gateway's place among those that use a backend
+        self.kinds: dict[str, KindRatings] = {}
+        self.cold: dict[Server, None] = {}  # those that were cold when they were last looked at
+        self.changed = True  # since the draw's weights were last made
+
+    def __len__(self) -> int:
+        return len(self.all.items)
+
+    def __contains__(self, server: object) -> bool:
+        return server in self.filed
+
+    def add(self, server: Server, is_cold: bool) -> None:
+        """Puts in a server that is not in yet."""
+        backend = server.backend
+        lists = [self.all, self.ranks.setdefault(server.place, IndexedList())]
+        if Scope.ZONE in self.scopes:
+            lists.append(self.groups.setdefault((Scope.ZONE, backend.zone), IndexedList()))
+        if Scope.CELL in self.scopes:
+            lists.append(self.groups.setdefault((Scope.CELL, backend.cell), IndexedList()))
+        for each in lists:
+            each.add(server)
+        rating = max(backend.rating, 0.0)
+        ratings = self.kinds.setdefault(backend.kind, KindRatings())
+        ratings.total += rating
+        ratings.machines += 1
+        self.filed[server] = Filed(backend.kind, rating, tuple(lists))
+        if is_cold:
+            self.cold[server] = None
+        self.changed = True
+
+    def discard(self, server: Server) -> None:
+        """Takes a server out, if it is in."""
+        filed = self.filed.pop(server, None)
+        if filed is None:
+            return
+        for each in filed.groups:
+            each.remove(server)
+        ratings = self.kinds[filed.kind]
+        ratings.total -= filed.rating
+        ratings.machines -= 1
+        if not ratings.machines:
+            del self.kinds[filed.kind]
+        self.cold.pop(server, None)
+        self.changed = True
+
+    def group(self, scope: Scope, key: str | int) -> Sequence[Server]:
+        """The servers of a zone or cell, or all of them."""
+        if scope is Scope.ALL:
+            return self.all.items
+        found = self.groups.get((scope, key))
+        return found.items if found is not None else ()
+
+    def ranked_below(self, width: int, gateways: int) -> list[Server]:
+        """Those at which this gateway is among the first `width` of all `gateways`."""
+        if width >= gateways:
+            return list(self.all.items)
+        lists = (self.ranks.get(rank) for rank in range(width))
+        return [server for each in lists if each is not None for server in each.items]
+
+    def sizes(self) -> dict[str, float]:
+        """The mean rating of each kind against that of all: a single backend's may be rough."""
+        mean = sum(ratings.total for ratings in self.kinds.values()) / max(len(self), 1)
+        if mean <= 0 or len(self.kinds) < 2:
+            return {}
+        return {kind: ratings.total / ratings.machines / mean or 1.0 for kind, ratings in self.kinds.items()}
