--- a/embersill/net/pool.py
+++ b/embersill/net/pool.py
@@ -113,6 +113,8 @@
         self.settings, self.random = settings, Random(seed)
         self.places: dict[str, Place] = {}
         self.links: set[Link] = set()  # all that may hold a descriptor
+        self.idle_links: dict[Link, Place] = {}  # the one that has been idle for longest stands first
+        self.resting = 0  # in use, and free in a moment
         self.opening = 0  # opens under way
         self.short: dict[str, None] = {}  # backends whose line waits for leave to open, first come
         self.elsewhere = 0  # connections of the process before, which count under the same bound
@@ -183,9 +185,8 @@
     def keep_none(self) -> None:
         """From now on connections are closed after their attempts: a successor needs the descriptors."""
         self.keeping = False
-        for place in self.places.values():
-            while place.idle:
-                self.close(place, place.idle[0], "handed over")
+        for link, place in list(self.idle_links.items()):
+            self.close(place, link, "handed over")
 
     def drop_idle(self, backend: str) -> None:
         """After an attempt that got no answer: a machine that is cut off leaves its connections silent."""
@@ -230,7 +231,7 @@
             elif not link.is_fit():
                 self.close(place, link, "stale")
             else:
-                place.idle.pop()
+                self.take_idle(place, link)
                 return link
         return None
 
@@ -264,13 +265,17 @@
 
     def evict(self) -> bool:
         """The connection that has been idle for longest makes way; False where there is none."""
-        held = [p for p in self.places.values() if p.idle]
-        if not held:
+        link = next(iter(self.idle_links), None)
+        if link is None:
             return False
-        place = min(held, key=lambda p: p.idle[0].idle_since)
-        self.close(place, place.idle[0], "made way")
+        self.close(self.idle_links[link], link, "made way")
         return True
 
+    def take_idle(self, place: Place, link: Link) -> None:
+        """It is idle no more."""
+        place.idle.remove(link)
+        del self.idle_links[link]
+
     def open(self, backend: str, place: Place) -> None:
         assert place.address is not None
         link = self.opener(backend, place.address)
@@ -306,6 +311,7 @@
             return self.use(place, link, attempt)
         link.state, link.idle_since = State.IDLE, now
         place.idle.append(link)
+        self.idle_links[link] = place
         while len(place.idle) > place.keep or place.idle and not self.keeping:
             self.close(place, place.idle[0], "surplus")
         return None
@@ -344,9 +350,11 @@
         if place is not None and link in place.used:
             link.resting = True
             place.resting += 1
+            self.resting += 1
 
     def rested(self, place: Place, link: Link) -> None:
         place.resting -= link.resting
+        self.resting -= link.resting
         link.resting = False
 
     def put_back(self, link: Link) -> None:
@@ -387,7 +395,7 @@
         if place is not None:
             if link in place.idle:
                 self.figures["pool closed idle"] += 1
-                place.idle.remove(link)
+                self.take_idle(place, link)
             self.rested(place, link)
             place.used.discard(link)
             if link in place.opening:
@@ -410,7 +418,7 @@
     def close(self, place: Place, link: Link, why: str) -> None:
         """Closes what no attempt is on."""
         if link in place.idle:
-            place.idle.remove(link)
+            self.take_idle(place, link)
         else:
             self.opened(place, link)
         self.end(link, why)
@@ -433,11 +441,10 @@
             self.short.pop(backend, None)
 
     def sweep(self) -> None:
-        """Closes what has been idle for long, or is old; the longest idle stand first."""
+        """Closes what has been idle for long, or is old."""
         now = self.clock()
-        for place in self.places.values():
-            before = now - self.idle_limit(place)
-            for link in [k for k in place.idle if k.idle_since < before or now >= k.retire_at]:
+        for link, place in list(self.idle_links.items()):
+            if link.idle_since < now - self.idle_limit(place) or now >= link.retire_at:
                 self.close(place, link, "aged")
 
     def close_all(self) -> None:
@@ -447,4 +454,4 @@
                 link.shut()
 
     def idle(self) -> int:
-        return sum(len(p.idle) + p.resting for p in self.places.values())
+        return len(self.idle_links) + self.resting
--- a/tests/test_incident_growth.py
+++ b/tests/test_incident_growth.py
@@ -17,6 +17,7 @@
     Settings, Status,
 )
 from tests.operations import operations
+from tests.test_pool import World
 
 USUAL, MANY = 200, 3200
 ALLOWED = 1.5  # times the operations at the usual size
@@ -180,3 +181,22 @@
     assert 2.3 < large / small < 3.7
     starting = [b for b in many if b.started is not None]
     assert sum(sent[b.address] for b in starting) / len(starting) < 0.6 * total / len(many)
+
+
+def test_sweeps_evictions_and_figures_of_the_pool_go_through_idle_connections_alone() -> None:
+    def cost(backends: int) -> int:
+        world = World(most=20)
+        for number in range(backends):
+            world.pool.set_address(f"b{number}", ("127.0.0.1", 1 + number % 60000))
+        for number in range(20):
+            world.start(f"b{number}")
+            world.done(world.up())
+        with operations() as counted:
+            for number in range(20, 40):
+                world.start(f"b{number}")  # one that is idle makes way
+                world.up()
+            world.pool.sweep()
+            world.pool.idle()
+        return counted.number
+
+    assert cost(MANY) <= ALLOWED * cost(USUAL)
--- a/tests/test_list_feed.py
+++ b/tests/test_list_feed.py
@@ -107,7 +107,8 @@
     states = [(e.backend.address, e.backend.status) for e in told[0].entries]
     assert states[-1] == ("backend-0", Status.SERVING)
     assert sorted(states[:-1], key=str) == [
-        ("backend-10", Status.GONE), ("backend-21", Status.DRAINING), (f"backend-{MANY - 1}", Status.DRAINING)]
+        ("backend-10", Status.GONE), ("backend-21", Status.DRAINING),
+        (f"backend-{MANY - 1}", Status.DRAINING)]
 
 
 def test_short_lists_are_told_as_they_come() -> None:
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -385,6 +385,11 @@
         assert set(stands) == {k for k in self.world.made if k.state is not State.CLOSED}
         assert self.pool.opening == sum(k.state is State.OPENING for k in stands) <= 3
         assert self.pool.links == {k for k in self.world.made if k not in self.over}
+        idle = {k: p for p in self.pool.places.values() for k in p.idle}
+        assert self.pool.idle_links == idle
+        since = [k.idle_since for k in self.pool.idle_links]
+        assert since == sorted(since)  # the first is the one that makes way
+        assert self.pool.resting == sum(p.resting for p in self.pool.places.values())
 
     @invariant()
     def each_attempt_has_its_own_connection_or_waits(self) -> None:
