Keep spans of time whole over a step of the wall clock, in hand-overs and in starts of backends

A backend's start was held against the same clock: an hour ahead, a backend that has just started counted as warm; an hour back, as cold for an hour.

Change: the predecessor tells its clock with the machine's monotonic one, and the successor moves all moments by the difference; keys stay, older versions' state is taken as before. A start is never later than the list that tells of it, and what is new in a list that has been followed for five seconds has begun a moment ago if the clock says over two seconds more than the list is old.

Class: Unix time used as a span. Looked at and right: waits and windows within a process (monotonic), the list service's leases and the aggregators' (loop time).

--- a/embersill/control.py
+++ b/embersill/control.py
@@ -54,6 +54,9 @@
 # bear twice as many on a busy day, and what is out is all that can come on top of a backend's own pace
 PACE_OVER = 5.0  # seconds over which it is averaged what backends do: some tens of answers at a thin gateway
 LEAST_PACED = 1.0  # seconds after a start from which that counts: less shows nothing but chance
+START_TOLD_WITHIN = 2.0  # seconds after a start, and since the list was last heard of, in which it is told:
+# else the clock here is off, or the list late
+FOLLOWED_AFTER = 5.0  # seconds after the first list from which all that is new in it has just begun
 SURE_PLACES = 2  # gateways that may call a cold backend once in its window whatever is known: chance's own
 START_LIMIT = 8.0  # attempts out at a backend, all gateways together, before anything is learned of it
 LEAST_LIMIT = 4.0  # the same once it is under pressure: less would leave the cores of a backend idle
@@ -209,6 +212,8 @@
         self.drawable: list[Server] = []  # those of them that this gateway uses, when they were last weighed
         self.weights: list[float] = []  # theirs, summed up
         self.weigh_at = now
+        self.first_listed_at: float | None = None  # when the list was first heard of, and last
+        self.last_listed_at = now
         self.known: set[str] = set()  # ids of all backends that were ever listed
         self.banned: set[str] = set()  # ids that staff took out, whatever the list says of them
         self.greet: dict[str, float] = {}  # restored, not answered yet: when it gets its next
@@ -1035,6 +1040,10 @@
                 self.serving.discard(self.servers.pop(address))
         for backend in event.backends:
             self.take_entry(backend)
+        if event.kind is not ListKind.REMEMBERED:
+            self.last_listed_at = self.now
+            if self.first_listed_at is None:
+                self.first_listed_at = self.now
         if event.kind is ListKind.REMEMBERED and not self.settings.list_pushed:
             self.actions.append(Subscribe())
 
@@ -1064,7 +1073,21 @@
     def unknown(self, backend: Backend) -> Server:
         """A backend of which nothing is learned yet."""
         place = place_at(backend.address, self.settings)
-        return Server(backend, max(1.0, START_LIMIT / self.settings.gateways), self.now, place)
+        made = Server(backend, max(1.0, START_LIMIT / self.settings.gateways), self.now, place)
+        made.started = self.credible_start(backend.started)
+        return made
+
+    def credible_start(self, started: float | None) -> float | None:
+        """When a backend has started, by this gateway's clock, which may be off: rather later than it was.
+
+        None for long ago. No start is later than the list that tells of it; and what is new in a list that is
+        followed has begun a moment ago, whatever the clock says.
+        """
+        if started is None or started >= self.now:
+            return None if started is None else self.now
+        follows = self.first_listed_at is not None and self.now - self.first_listed_at > FOLLOWED_AFTER
+        oldest = self.last_listed_at - START_TOLD_WITHIN
+        return self.now if follows and started < oldest else started
 
     def put_in_order(self) -> None:
         """Files all servers anew, after what may have changed any of them."""
--- a/embersill/net/handover.py
+++ b/embersill/net/handover.py
@@ -12,6 +12,7 @@
 import logging
 import os
 import socket
+import time
 import zlib
 from collections.abc import Callable
 from typing import Any
@@ -153,7 +154,7 @@
 
     def accept_given(self, message: Message, descriptor: int) -> None:
         self.limit_to(message)
-        self.driver.inherit(self.read_state())
+        self.driver.inherit(self.by_own_clock(self.read_state()))
         self.front.listen_on(socket.socket(fileno=descriptor))
         left = read_left(message, "lame_duck")
         if left is not None:
@@ -162,6 +163,16 @@
         if not self.given.done():
             self.given.set_result(True)
 
+    def by_own_clock(self, state: Message) -> Message:
+        """Adds how far this process's clock is ahead of the other's: the machine's may have been stepped.
+
+        Both know the same moment by the monotonic clock, which is one for all processes of a machine.
+        """
+        if "monotonic" not in state or "now" not in state:
+            return state  # of an older version
+        then = float(state["now"]) + time.monotonic() - float(state["monotonic"])
+        return {**state, "clock_ahead": self.driver.clock() - then}
+
     def limit_to(self, message: Message) -> None:
         """The two share the limits: what the other still holds is not to be had here."""
         self.front.elsewhere, self.driver.pool.elsewhere = int(message["clients"]), int(message["backends"])
@@ -209,7 +220,7 @@
         self.gave = True
         self.front.pause_accepting()
         self.driver.pool.keep_none()
-        self.write_state(self.driver.hand_over())
+        self.write_state({**self.driver.hand_over(), "monotonic": time.monotonic()})
         given = {"say": "given", **self.holds(), "lame_duck": self.duck.left()}
         if not self.link.send(given, listener.fileno()):
             return self.take_back()
--- a/embersill/state_transfer.py
+++ b/embersill/state_transfer.py
@@ -16,11 +16,15 @@
 THROTTLE_STATE = ("share", "level", "stamp", "cap", "second", "asked", "last_asked", "own", "total",
                   "read_until", "fresh_until", "uncounted", "open")
 SERVER_STATE = ("started", "bad", "touched", "limit", "flight", "calls")
+# of these, the moments by the clock of the process that hands over, which may be another than the successor's
+MOMENTS = frozenset(
+    ("born", "judged", "quiet_until", "stamp", "read_until", "fresh_until", "started", "touched"))
 
 
 def take_state(gateway: Gateway) -> dict[str, Any]:
     """All that a successor must know. The customers' credit goes with it and is no longer the gateway's."""
     return {
+        "now": gateway.now,
         "gateway": fields_of(gateway, GATEWAY_STATE),
         "throttles": [take_throttle(throttle, gateway.now) for throttle in gateway.throttles.values()],
         "servers": [[address, server.backend.started, fields_of(server, SERVER_STATE)]
@@ -46,20 +50,36 @@
 
 
 def restore_state(gateway: Gateway, state: Mapping[str, Any]) -> None:
-    """Takes over what `take_state` told; what the process before has out counts until it has ended."""
-    restore_fields(gateway, gateway, state["gateway"], "flight")
+    """Takes over what `take_state` told; what the process before has out counts until it has ended.
+
+    `clock_ahead`: seconds by which this process's clock is ahead of the other's; older versions tell none.
+    """
+    ahead = float(state.get("clock_ahead", 0.0))
+    restore_fields(gateway, gateway, by_own_clock(state["gateway"], ahead), "flight")
     for address, listed, figures in state["servers"]:
         server = gateway.servers.get(address)
         if server is not None and server.backend.started == listed:
-            restore_fields(gateway, server, figures, "flight")
+            restore_fields(gateway, server, by_own_clock(figures, ahead), "flight")
     for customer, plan, width, figures in state["throttles"]:
         if plan in gateway.plans:
-            restore_throttle(gateway, customer, plan, width, figures)
-    gateway.greet, gateway.kinds = dict(state["greet"]), dict(state["kinds"])
+            restore_throttle(gateway, customer, plan, width, by_own_clock(figures, ahead))
+    gateway.greet = {address: due + ahead for address, due in state["greet"].items()}
+    gateway.kinds = dict(state["kinds"])
     gateway.usual = {(klass, units): value for klass, units, value in state["usual"]}
     gateway.granted.update({(name, sure): value for name, sure, value in state["granted"]})
 
 
+def by_own_clock(figures: Mapping[str, Any], ahead: float) -> dict[str, Any]:
+    """Another process's moments as those of a clock that is so many seconds ahead of its own."""
+    moved = {name: value + ahead if name in MOMENTS and value is not None else value
+             for name, value in figures.items()}
+    if "calls" in moved:
+        moved["calls"] = [at + ahead for at in moved["calls"]]
+    if "second" in moved:  # the number of a period
+        moved["second"] += round(ahead)
+    return moved
+
+
 def restore_throttle(
     gateway: Gateway, customer: str, plan: str, width: int, figures: Mapping[str, Any]
 ) -> None:
--- /dev/null
+++ b/tests/test_incident_clock.py
@@ -0,0 +1,106 @@
+"""Incident of 2026-12: the wall clock of a machine is stepped; spans of time must stay what they are."""
+
+from __future__ import annotations
+
+import pathlib
+import time
+from dataclasses import replace
+from math import inf
+
+import pytest
+
+from embersill.interface import BackendList, Inherit, ListKind, Send, Status
+from tests.bed import request, roomy_settings, run, running
+from tests.helpers import CAPPED, SETTINGS, backend, backends, gateway
+from tests.helpers import request as asked_for
+
+STEPS = (0.0, 3600.0, -3600.0, 2.5, -2.5)
+
+
+@pytest.mark.parametrize("step", STEPS)
+def test_a_successor_whose_wall_clock_was_stepped_goes_on_where_the_other_stopped(
+    step: float, tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Levels, the ceiling's store and windows are handed over as they are, whatever Unix time says."""
+
+    async def test() -> None:
+        env, folder = roomy_settings(), str(tmp_path)
+        env["packages"][0].update(peak_units=16.0, units_per_s=0.5)
+        async with running(backends=2, env=env, folder=folder) as bed:
+            client = await bed.client()
+            assert (await client.ask(request(1, units="8")))[0] == 200
+            first = bed.program.driver
+            first.gateway.servers["b1"].calls.append(first.clock() - 0.5)
+            held = next(iter(first.gateway.throttles.values()))
+            held.refill(first.clock())
+            before = held.level
+            first.gateway.quiet_until = first.clock() + 7.0
+            stepped = time.time
+            monkeypatch.setattr("embersill.__main__.time.time", lambda: stepped() + step)
+            second = await bed.successor(env, folder)
+            assert bed.program.handover.gave
+            made, now = second.driver.gateway, second.driver.clock()
+            assert now == pytest.approx(first.clock() + step, abs=0.05)
+            throttle = next(iter(made.throttles.values()))
+            throttle.refill(now)
+            assert before < 7.0 and before - 0.1 <= throttle.level <= before + 0.5 * 3.0
+            assert made.quiet_until == pytest.approx(now + 7.0, abs=3.0) and made.quiet_until < now + 7.1
+            assert 0.4 < now - made.servers["b1"].calls[0] < 4.0
+            assert 0.0 <= now - made.born < 10.0
+            await second.stop(0.0, 0.0)
+
+    run(test)
+
+
+@pytest.mark.parametrize("step", STEPS)
+def test_a_ceilings_store_is_not_filled_by_a_step(step: float) -> None:
+    """Spent and handed over, it holds what its rate has brought since, and no more."""
+    plan = replace(CAPPED, rate=100.0, burst=100.0, ceiling_rate=100.0, ceiling_depth=200.0)
+    first = gateway(now=1000.0, plans=(plan,), gateways=1, counter=False)
+    first.throttles.clear()
+    sent = 0
+    for number in range(400):
+        asked = asked_for(number, plan=plan.name, width=1, deadline=1010.0)
+        sent += any(isinstance(a, Send) for a in first.handle(asked, 1000.0))
+    state = first.hand_over(1000.0)
+    second = gateway(now=1000.0 + step, plans=(plan,), gateways=1, counter=False)
+    second.handle(Inherit({**state, "clock_ahead": step}), 1000.0 + step)
+    again = 0
+    for number in range(1000, 1300):
+        asked = asked_for(number, plan=plan.name, width=1, deadline=1010.0 + step)
+        again += any(isinstance(a, Send) for a in second.handle(asked, 1000.3 + step))
+    assert again <= 31
+    throttle = next(iter(second.throttles.values()))
+    throttle.refill(1001.3 + step)
+    assert throttle.cap >= 89.9  # and a step back does not shut it
+
+
+@pytest.mark.parametrize("step", [3600.0, 30.0, -30.0, -3600.0])
+@pytest.mark.parametrize("heard", ["changes", "quiet"])
+def test_a_start_told_while_the_list_is_followed_is_one_of_now(step: float, heard: str) -> None:
+    """True starts are by the fleet's clock, and this gateway's is ahead of it by the step."""
+    now = 1000.0 + step
+    made = gateway(now=now, listed=backends(backend("a"), backend("b", 1, started=10.0)))
+    for beat in range(1, 11):
+        now += 1.0
+        if heard == "changes" or beat % 4 == 0:
+            made.handle(BackendList(ListKind.CHANGES, ()), now)
+    told = backend("cold", started=now - step - 1.0)
+    made.handle(backends(told, kind=ListKind.CHANGES), now)
+    settings = made.settings
+    server = made.servers["cold"]
+    most = settings.cold_from + (1.0 - settings.cold_from) * 1.0 / settings.warm_within
+    assert settings.cold_from <= server.cold_share(now, settings) <= most + 1e-9
+    assert server.cold_share(now + settings.warm_within, settings) == 1.0  # and it gets warm all the same
+    made.handle(backends(replace(told, status=Status.DRAINING), kind=ListKind.CHANGES), now)
+    made.handle(backends(told, kind=ListKind.CHANGES), now + 0.5)
+    assert made.servers["cold"].cold_share(now + settings.warm_within, settings) == 1.0
+
+
+def test_starts_in_the_first_lists_are_believed() -> None:
+    made = gateway(now=1000.0, listed=backends(
+        backend("cold", started=1000.0 - SETTINGS.warm_within / 2), backend("warm", started=500.0)))
+    shares = {a: s.cold_share(1000.0, SETTINGS) for a, s in made.servers.items()}
+    assert shares["warm"] == 1.0
+    assert shares["cold"] == pytest.approx((1.0 + SETTINGS.cold_from) / 2)
+    assert made.servers["warm"].full == {} and made.servers["warm"].links == inf
