Bear system calls that fail: accept, connect, listen, a connection's set-up, and the state's file

Change: eight failures of accept in a row wait 20 ms, as do all that are no single client's end; a connection that can't be set up is answered with 503; the clients' address is tried for five seconds; opens are tried again after 10, 20 and 40 ms for causes here, which are no backend's; the state goes to a successor in a file in memory as well, and bans are written again until the folder takes them.

Class: an error taken for the one kind that was thought of.

--- a/embersill/__main__.py
+++ b/embersill/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import gc
 import json
 import logging
@@ -57,6 +58,11 @@
 LAST_WORD = 30.0  # seconds after a drain for which the console is there to tell that nothing is open
 LAST_WORD_HANDED = 1.0  # and to tell where a lame duck's successor is: an upgrade's kill may be near
 DRAINED_WITHIN = 600.0  # seconds that a drain may wait for what runs: a body of 32 MB at 64 kB a second
+LISTEN_WITHIN = 5.0  # seconds for which the clients' address is tried: ready is owed within 10
+LISTEN_AGAIN = 0.05  # seconds between tries
+LISTEN_AGAIN_AFTER = frozenset((
+    errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL, errno.ENETDOWN,
+    errno.ENETUNREACH, errno.EINTR))
 CLOSE_EVERY = 0.02  # seconds between looks for connections that fell idle
 LAST_READ = 0.15  # seconds in which the last connections taken in bring what was already sent on them
 LAST_BYTES = 0.25  # seconds for clients to take what was written to them
@@ -341,12 +347,24 @@
             wait.cancel()
         await asyncio.sleep(LAST_READ)  # for the answer to go out
 
+    async def listen_for_clients(self) -> None:
+        """Binds the clients' address, and again for a while where that fails for want of something here."""
+        end = self.loop.time() + LISTEN_WITHIN
+        while True:
+            try:
+                return self.front.listen(self.listen)
+            except OSError as error:
+                if error.errno not in LISTEN_AGAIN_AFTER or self.loop.time() >= end:
+                    raise
+                log.warning("the clients' address is tried again: %s", error)
+            await asyncio.sleep(LISTEN_AGAIN)
+
     async def start(self) -> None:
         if self.console_at is not None:
             self.handover.console = await self.console.listen(self.console_at)
         succeeds = self.handover.find()
         if not succeeds:
-            self.front.listen(self.listen)
+            await self.listen_for_clients()
         self.following = self.loop.create_task(self.discovery.run())
         try:
             async with asyncio.timeout(FIRST_LIST_WITHIN):
@@ -356,7 +374,7 @@
         if not succeeds or not await self.handover.take_over():
             self.handover.remember_bans()
             if succeeds:
-                self.front.listen(self.listen)
+                await self.listen_for_clients()
         self.handover.open()
         self.settled = True
 
--- a/embersill/net/backends.py
+++ b/embersill/net/backends.py
@@ -30,7 +30,11 @@
 UNITS = re.compile(rb"\+?(\d{1,30}\.?\d{0,30}|\.\d{1,30})([eE][+-]?\d{1,3})?")
 MOST_UNITS = 1e6  # that an answer may bill
 # what a connection fails with where the lack is here and not at the backend
-LOCAL = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL))
+LOCAL = frozenset((
+    errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL, errno.ENETUNREACH,
+    errno.ENETDOWN))
+MOMENTARY = LOCAL - {errno.EMFILE}  # of these, what may pass by itself: for EMFILE a descriptor has to go
+DIAL_AGAIN = (0.01, 0.02, 0.04)  # seconds until it is tried again after such a failure
 
 
 @dataclass(frozen=True, slots=True)
@@ -428,7 +432,7 @@
         failure: Failure | None = None
         try:
             async with asyncio.timeout(self.dial_timeout):
-                await self.loop.create_connection(lambda: made, *address)
+                await self.dial(made, address)
         except TimeoutError:
             failure = Failure.SILENT
         except OSError as error:
@@ -443,6 +447,19 @@
             if made.transport is None:
                 self.pool.ended(made)
 
+    async def dial(self, made: BackendConnection, address: Address) -> None:
+        """Connects, and again after a failure here that may last for a moment only."""
+        for wait in DIAL_AGAIN:
+            try:
+                await self.loop.create_connection(lambda: made, *address)
+                return
+            except OSError as error:
+                if error.errno not in MOMENTARY:
+                    raise
+                self.pool.figures["pool open again"] += 1
+                await asyncio.sleep(wait)
+        await self.loop.create_connection(lambda: made, *address)
+
     def sweep(self) -> None:
         now = self.pool.clock()
         for link in list(self.pool.links):
--- a/embersill/net/clients.py
+++ b/embersill/net/clients.py
@@ -11,6 +11,7 @@
 import struct
 from collections import deque
 from collections.abc import Callable
+from contextlib import suppress
 from functools import lru_cache
 from typing import cast
 from urllib.parse import unquote_to_bytes
@@ -38,7 +39,12 @@
 SEND_BUFFER = 128 * 1024  # bytes the kernel may hold for a client: more would hide how slowly it reads
 LINGER = 1.0  # seconds for a peer to read an error answer before its connection goes
 BACKLOG = 1024
-ACCEPT_AGAIN = 0.02  # seconds until the next try where no descriptor was left for a connection
+ACCEPT_AGAIN = 0.02  # seconds until the next try where a connection could not be accepted
+ACCEPT_FAILURES = 8  # in a row, from which it waits: fewer may be as many clients that have gone
+# what accept fails with where one connection has ended before it was accepted (accept(2))
+ENDED_UNACCEPTED = frozenset((
+    errno.ECONNABORTED, errno.EPROTO, errno.ENOPROTOOPT, errno.EHOSTDOWN, errno.ENONET, errno.EHOSTUNREACH,
+    errno.EOPNOTSUPP, errno.ENETUNREACH, errno.ETIMEDOUT, errno.ECONNRESET, errno.EPERM))
 ACCEPT_ALL = 0.2  # seconds for all that waits to be accepted where no more will be: a full backlog, with room
 MAKE_WAY = 16  # peers that make way at one go: a flood comes faster than one at a time
 MOVE_AGAIN = 0.005  # seconds until the next try to hand a connection over: its last answer is still going out
@@ -60,6 +66,9 @@
     503: b"Service Unavailable", 504: b"Gateway Timeout",
 }
 
+UNAVAILABLE = (b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.05\r\nConnection: close\r\n"
+               b"Content-Length: 0\r\n\r\n")
+
 log = logging.getLogger("embersill")
 
 
@@ -786,13 +795,15 @@
         self.take(sock, asked, served)
 
     def take(self, sock: socket.socket, asked: bool = False, served: bool = False) -> None:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER)
+        with suppress(OSError):  # the kernel's own size does as well
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER)
         task = self.loop.create_task(self.take_in(sock, asked, served))
         self.taking_in.add(task)
         task.add_done_callback(self.taking_in.discard)
 
     def accept(self) -> None:
         self.again = None
+        failures = 0
         for _ in range(ACCEPTS):
             if self.listener is None:
                 return
@@ -806,16 +817,30 @@
             except BlockingIOError:
                 return
             except OSError as error:
-                if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                failures += 1
+                if error.errno not in ENDED_UNACCEPTED or failures >= ACCEPT_FAILURES:
+                    self.driver.figures.others["accept failed"] += 1
                     return self.pause()
                 continue  # that client has gone again
+            failures = 0
             sock.setblocking(False)
             self.take(sock)
 
     async def take_in(self, sock: socket.socket, asked: bool, served: bool) -> None:
         try:
             await self.loop.connect_accepted_socket(lambda: ClientConnection(self, asked, served), sock)
-        except OSError:
+        except OSError as error:  # a request may be on it: it is answered, and not only closed
+            log.warning("a connection could not be set up: %s", error)
+            self.driver.figures.others["connection not set up"] += 1
+            await self.turn_away(sock)
+
+    async def turn_away(self, sock: socket.socket) -> None:
+        """Answers on a socket without a transport, and gives its peer time to read that."""
+        with suppress(OSError):
+            sock.send(UNAVAILABLE)
+            sock.shutdown(socket.SHUT_WR)
+            await asyncio.sleep(LINGER)
+        with suppress(OSError):
             sock.close()
 
     def has_room(self) -> bool:
--- a/embersill/net/handover.py
+++ b/embersill/net/handover.py
@@ -15,6 +15,7 @@
 import time
 import zlib
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Any
 
 from embersill.net.clients import ClientConnection, Front
@@ -26,6 +27,8 @@
 MOST_MESSAGE = 4096  # bytes: an id of a backend is the longest part of one
 GIVEN_WITHIN = 1.5  # seconds for the predecessor to give its listener: the successor's yes is due in 6
 DONE_WITHIN = 0.5  # seconds to wait for the other process over a ban: the console's answer is due in 1
+CALLED_AGAIN = 0.05  # seconds until a caller is accepted again after that has failed
+SAVE_AGAIN = 0.5  # seconds until the state is written again after that has failed
 TELL_EVERY = 0.25  # seconds between the old process's words on what it still holds
 
 Message = dict[str, Any]
@@ -95,6 +98,44 @@
         return -1
 
 
+def state_text(state: Message) -> str:
+    """With its version and a checksum."""
+    text = json.dumps(state, separators=(",", ":"))
+    return f"{VERSION} {zlib.crc32(text.encode())}\n{text}"
+
+
+def parse_state(whole: str) -> Message:
+    """What `state_text` made; ValueError where it is of another version, or not whole."""
+    head, _, text = whole.partition("\n")
+    if head.split() != [str(VERSION), str(zlib.crc32(text.encode()))]:
+        raise ValueError("of another version, or not whole")
+    state = json.loads(text)
+    return state if isinstance(state, dict) else {}
+
+
+def memory_file(text: str) -> int:
+    """The descriptor of a file in memory, which a full disk does not keep from being written; -1 for none."""
+    try:
+        descriptor = os.memfd_create(STATE)
+    except OSError as error:
+        log.warning("the state goes over by its file alone: %s", error)
+        return -1
+    with open(os.dup(descriptor), "w", encoding="ascii") as file:
+        file.write(text)
+    return descriptor
+
+
+def read_memory_file(descriptor: int) -> Message:
+    """What the process before has put there; the descriptor is closed."""
+    try:
+        with open(descriptor, encoding="ascii") as file:
+            file.seek(0)
+            return parse_state(file.read())
+    except (OSError, ValueError) as error:
+        log.warning("the state that was given is of no use: %s", error)
+        return {}
+
+
 def read_left(message: Message, key: str) -> float | None:
     """A lame duck's time, of which a process of an older version tells nothing."""
     left = message.get(key)
@@ -112,6 +153,7 @@
         self.folder = open_folder(folder) if folder else -1
         self.link: Link | None = None
         self.given: asyncio.Future[bool] = self.loop.create_future()
+        self.saving = False  # the state is written again in a moment
         self.gave = False  # all but what is under way is the successor's
         self.waiting: dict[str, asyncio.Future[None]] = {}  # bans that the other process has not confirmed
         self.door: socket.socket | None = None
@@ -152,10 +194,12 @@
         """Where nobody hands over, bans are what must outlive the process before: they are by hand."""
         self.driver.inherit({"banned": self.read_state().get("banned", [])})
 
-    def accept_given(self, message: Message, descriptor: int) -> None:
+    def accept_given(self, message: Message, descriptors: list[int]) -> None:
+        """Takes over by the listener's descriptor and, of newer versions, one of the state."""
         self.limit_to(message)
-        self.driver.inherit(self.by_own_clock(self.read_state()))
-        self.front.listen_on(socket.socket(fileno=descriptor))
+        state = read_memory_file(descriptors[1]) if len(descriptors) > 1 else {}
+        self.driver.inherit(self.by_own_clock(state or self.read_state()))
+        self.front.listen_on(socket.socket(fileno=descriptors[0]))
         left = read_left(message, "lame_duck")
         if left is not None:
             log.info("the process before was a lame duck: this one is for %.1f s more", left)
@@ -196,13 +240,19 @@
             return door.close()
         door.setblocking(False)
         self.door = door
-        self.loop.add_reader(door, self.called)
+        self.listen_at_door()
+
+    def listen_at_door(self) -> None:
+        if self.door is not None:
+            self.loop.add_reader(self.door, self.called)
 
     def called(self) -> None:
         assert self.door is not None
         try:
             sock, _ = self.door.accept()
         except OSError as error:
+            self.loop.remove_reader(self.door)  # a failure that lasts must not hold the loop
+            self.loop.call_later(CALLED_AGAIN, self.listen_at_door)
             return log.warning("a caller for a hand-over was lost: %s", error)
         if self.gave or (self.link is not None and self.link.sock.fileno() >= 0):
             return sock.close()  # one at a time
@@ -220,9 +270,14 @@
         self.gave = True
         self.front.pause_accepting()
         self.driver.pool.keep_none()
-        self.write_state({**self.driver.hand_over(), "monotonic": time.monotonic()})
+        state = {**self.driver.hand_over(), "monotonic": time.monotonic()}
+        self.write_state(state)  # an older version reads the file; it may not be written, as on a full disk
         given = {"say": "given", **self.holds(), "lame_duck": self.duck.left()}
-        if not self.link.send(given, listener.fileno()):
+        memory = memory_file(state_text(state))
+        sent = self.link.send(given, listener.fileno(), *([] if memory < 0 else [memory]))
+        if memory >= 0:
+            os.close(memory)
+        if not sent:
             return self.take_back()
         self.duck.hand_on()
         log.info("handed over to a successor; %d requests are still open here", self.driver.unanswered)
@@ -266,7 +321,7 @@
             case "take":
                 self.give(str(message.get("console", "")))
             case "given":
-                self.accept_given(message, descriptors[0])
+                self.accept_given(message, descriptors)
             case "closing":
                 if not self.given.done():
                     self.given.set_result(False)
@@ -334,14 +389,23 @@
         """Whole or not at all, with its version and a checksum."""
         if self.folder < 0:
             return
-        text = json.dumps(state, separators=(",", ":"))
         new = self.path(f"{STATE}.{os.getpid()}")
         try:
             with open(new, "w", encoding="ascii") as file:
-                file.write(f"{VERSION} {zlib.crc32(text.encode())}\n{text}")
+                file.write(state_text(state))
             os.replace(new, self.path(STATE))
         except OSError as error:
             log.warning("the state was not written: %s", error)
+            with suppress(OSError):
+                os.unlink(new)
+            if not (self.gave or self.saving):  # bans that staff were told of are owed to the next process
+                self.saving = True
+                self.loop.call_later(SAVE_AGAIN, self.save_again)
+
+    def save_again(self) -> None:
+        self.saving = False
+        if self.folder >= 0:
+            self.save_bans()
 
     def read_state(self) -> Message:
         """What was written last; nothing where it is of another version, or not whole."""
@@ -349,16 +413,12 @@
             return {}
         try:
             with open(self.path(STATE), encoding="ascii") as file:
-                head, text = file.readline().split(), file.read()
-            if head != [str(VERSION), str(zlib.crc32(text.encode()))]:
-                raise ValueError("of another version, or not whole")
-            state = json.loads(text)
+                return parse_state(file.read())
         except FileNotFoundError:
             return {}
         except (OSError, ValueError) as error:
             log.warning("the state that was left is of no use: %s", error)
             return {}
-        return state if isinstance(state, dict) else {}
 
     def shut(self) -> None:
         if self.door is not None:
