Add a fault soak of real gateways, and replace a list connection that ended between two calls

A preloaded shim of C source makes system calls fail, reads and writes short, and steps the wall clock.

Cause: discovery.py asked on a connection that had ended. It is replaced now; the new test fails without that.

--- a/embersill/lab/__main__.py
+++ b/embersill/lab/__main__.py
@@ -20,6 +20,8 @@
 from embersill.lab.plays import Book, Play, Report, run_all
 from embersill.lab.scenario import BadScenario, build_scenario, change, check_real, load
 from embersill.lab.scale.arguments import add_parser as add_scale_parser
+from embersill.lab.soak.command import add_parser as add_soak_parser
+from embersill.lab.soak.command import run_command as run_soak
 from embersill.lab.versions import BadVersion, policy_files
 
 SHIPPED = pathlib.Path(__file__).parent / "scenarios"
@@ -58,6 +60,7 @@
     rank.add_argument("--recorded", metavar="FILE", type=pathlib.Path,
                       help="TOML: a figure for each name, to whose ranking this one is held")
     add_scale_parser(commands)
+    add_soak_parser(commands)
     report = commands.add_parser("report", help="write the page of an --out folder again")
     report.add_argument("folder", type=pathlib.Path)
     return made
@@ -247,6 +250,8 @@
     try:
         if told.command == "list":
             return show_list()
+        if told.command == "soak":
+            return run_soak(told)
         if told.command == "scale":
             from embersill.lab.scale.command import run_command  # needs the list service's packages too
 
--- /dev/null
+++ b/embersill/lab/soak/checks.py
@@ -0,0 +1,175 @@
+"""Holds what the peers saw against the rules of the protocol and of operations' terms."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass
+from math import inf, sqrt
+
+from embersill.lab.soak.clients import BAD_CLIENT_OWED, LATEST_ANSWER, BadClient
+from embersill.lab.soak.deployment import GRACE, Deployment
+from embersill.lab.soak.discovery_agent import Told
+from embersill.lab.soak.observations import Attempt, AttemptEnd, ClientRequest, Violation
+
+TIME_LIMIT_SLACK = 0.05  # seconds, by the protocol
+AFTER_CLOSE = 0.1  # seconds after a client's close in which an attempt may still begin
+BUDGET_SLACK = 0.15  # seconds that a backend may be told beyond what the client has left
+CROSSING = 0.1  # seconds before a close in which a request may have crossed it unread
+KILL_EXCUSES_UNTIL = 0.7  # seconds after SIGTERM: what came later is lost where SIGKILL finds it unanswered
+AFTER_RELOAD = 4.0  # seconds after SIGHUP at which what discovery has counts as told
+FEW = 30  # calls below which the slow-start budget allows three roots and three
+
+
+@dataclass(frozen=True, slots=True)
+class ProcessLife:
+    """One process of a gateway, in moments of the monotonic clock."""
+
+    gateway: int
+    ready_at: float
+    terminated_at: float = inf
+    ended_at: float = inf
+    killed: bool = False
+
+
+@dataclass(slots=True)
+class SeenPlay:
+    """All that the checks look at."""
+
+    deployment: Deployment
+    requests: Iterable[ClientRequest]
+    attempts: dict[str, list[Attempt]]  # by backend
+    starts: dict[str, list[float]]  # by backend: its cold starts
+    told: dict[int, Told]  # by gateway
+    reloads: dict[int, list[float]]
+    lives: list[ProcessLife]
+    bad_clients: list[BadClient]
+    backend_rate: float  # requests a second that a warm backend can do
+    slack: float  # seconds that the peers themselves were late, at the most
+    groups: dict[str, dict[str, str]]  # by scope and backend: where repeats are dropped
+
+
+def check_answer(seen: SeenPlay, request: ClientRequest) -> Violation | None:
+    """One whole final answer in time, unless its client left or its gateway was killed."""
+    if request.written_at == inf or request.left_at < request.written_at + request.budget:
+        return None
+    lives = [x for x in seen.lives if x.gateway == request.gateway and x.ready_at <= request.written_at]
+    life = lives[-1] if lives else None
+    due = request.written_at + request.budget + LATEST_ANSWER + TIME_LIMIT_SLACK + seen.slack
+    if life is not None and life.killed and life.ended_at < due:
+        if request.written_at < life.terminated_at + KILL_EXCUSES_UNTIL or life.terminated_at == inf:
+            return None
+        if life.ended_at - request.written_at < CROSSING + seen.slack:
+            return None  # it may not have been read
+    if request.closed_at < inf:
+        crossed = request.closed_at - request.written_at < CROSSING + seen.slack and not request.attempts
+        return None if crossed else Violation("lost", request.call_id, "closed with no whole answer")
+    if request.answered_at > due:
+        return Violation("lost", request.call_id, f"no answer {LATEST_ANSWER} s after its time")
+    if not request.whole:
+        return Violation("lost", request.call_id, "served with what no backend made")
+    return None
+
+
+def check_attempts(seen: SeenPlay, request: ClientRequest) -> Iterable[Violation]:
+    """When attempts began, what they told, and whether a further one was allowed."""
+    klass = next(c for c in seen.deployment.classes if c.repeats == request.repeats)
+    slack = TIME_LIMIT_SLACK + seen.slack
+    for place, attempt in enumerate(request.attempts):
+        if attempt.first_byte_at > request.left_at + AFTER_CLOSE + slack:
+            late = attempt.first_byte_at - request.left_at
+            yield Violation("lost", request.call_id, f"attempt {place} began {late:.3f} s after the close")
+        left = request.written_at + request.budget - attempt.whole_at
+        if attempt.budget > left + BUDGET_SLACK + slack:
+            what = f"told {attempt.budget:.3f} s with {left:.3f} s left"
+            yield Violation("deadline", request.call_id, what)
+        before = [a for a in request.attempts[:place] if a.end is not AttemptEnd.REJECTED]
+        if not before:
+            continue
+        if request.repeats == "once":
+            yield Violation("repeat", request.call_id, f"attempt {place} of a class that is unsafe to repeat")
+        elif request.repeats == "by_key":
+            groups, first = seen.groups[klass.scope], before[0]
+            if groups[first.backend] != groups[attempt.backend]:
+                yield Violation("repeat", request.call_id, f"attempt {place} in another {klass.scope}")
+            if attempt.whole_at > first.whole_at + klass.window + slack:
+                yield Violation("repeat", request.call_id, f"attempt {place} after the window for repeats")
+
+
+def check_drains(seen: SeenPlay) -> Iterable[Violation]:
+    """No send after the grace to what a gateway was told to drain or to be gone."""
+    for backend, attempts in seen.attempts.items():
+        for attempt in attempts:
+            gateway = attempt.gateway
+            for end in seen.told[gateway].ends.get(backend, ()):
+                reloads = [hup for hup in seen.reloads[gateway] if hup <= end.at < hup + AFTER_RELOAD]
+                told_at = max([end.at, *(hup + AFTER_RELOAD for hup in reloads)])
+                late = attempt.first_byte_at - told_at - GRACE - TIME_LIMIT_SLACK - seen.slack
+                if late > 0 and attempt.first_byte_at < end.until:
+                    yield Violation("drain", "", f"{backend} from gateway {gateway}, {late:.3f} s late")
+
+
+def check_slow_starts(seen: SeenPlay) -> Iterable[Violation]:
+    """The budget of a cold backend, over all processes."""
+    form = seen.deployment
+    for backend, starts in seen.starts.items():
+        for start in starts:
+            times = sorted(a.first_byte_at for a in seen.attempts.get(backend, ())
+                           if start <= a.first_byte_at < start + form.warm_within)
+            first = 0
+            for place, end in enumerate(times):
+                while times[first] <= end - form.overload_for:
+                    first += 1
+                age = times[first] - start
+                share = min(1.0, form.cold_from + (1.0 - form.cold_from) * age / form.warm_within)
+                allowed = form.fall_multiple * share * seen.backend_rate * form.overload_for
+                chance = 3.0 * sqrt(allowed) + 3.0 if allowed < FEW else 2.0 * sqrt(allowed) + 2.0
+                calls = place - first + 1
+                if calls > allowed + chance:
+                    yield Violation("failback", "", f"{backend}: {calls} calls, {allowed:.1f} allowed")
+                    break
+
+
+def check_ceilings(seen: SeenPlay) -> Iterable[Violation]:
+    """Each customer's store over all gateways: a request takes its unit when its first attempt is whole."""
+    form = seen.deployment
+    rate, depth = form.ceiling * form.rate, form.ceiling * form.burst
+    if rate <= 0:
+        return
+    takes: dict[str, list[tuple[float, str]]] = defaultdict(list)
+    for request in seen.requests:
+        if request.attempts:
+            takes[request.customer].append((request.attempts[0].whole_at, request.call_id))
+    slack = max(0.1 * depth, 1.0) + 0.15 * rate
+    for times in takes.values():
+        level, before = depth, 0.0
+        for at, call_id in sorted(times):
+            level = min(depth, level + rate * (at - before)) - 1.0 if before else depth - 1.0
+            before = at
+            if level < -slack:
+                yield Violation("ceiling", call_id, f"the store is {-level:.1f} below nought")
+                break
+
+
+def check_bad_clients(seen: SeenPlay) -> Iterable[Violation]:
+    for bad in seen.bad_clients:
+        took = bad.ended - bad.began
+        if took > BAD_CLIENT_OWED + TIME_LIMIT_SLACK + seen.slack:
+            what = f"gateway {bad.gateway} gave neither error nor close in {took:.2f} s"
+            yield Violation("bad input", "", what)
+        elif bad.status and not 400 <= bad.status < 600:
+            yield Violation("bad input", "", f"gateway {bad.gateway} answered {bad.status}")
+
+
+def check_all(seen: SeenPlay) -> list[Violation]:
+    """Every broken rule."""
+    found: list[Violation] = []
+    for request in seen.requests:
+        violation = check_answer(seen, request)
+        found += [violation] if violation is not None else []
+        found += check_attempts(seen, request)
+    found += check_drains(seen)
+    found += check_slow_starts(seen)
+    found += check_ceilings(seen)
+    found += check_bad_clients(seen)
+    return found
--- /dev/null
+++ b/embersill/lab/soak/clients.py
@@ -0,0 +1,183 @@
+"""Clients of a soak: each request on a connection that is kept, with what impatient and broken ones do."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from embersill.lab.peers import HOST, read_message
+from embersill.lab.soak.deployment import Deployment, RequestClass
+from embersill.lab.soak.observations import ClientRequest
+
+LATEST_ANSWER = 0.5  # seconds after its time in which an answer only earns nothing
+ANSWER_SLACK = 0.3  # seconds that a client waits on after that before it calls the answer missing
+BAD_CLIENT_OWED = 3.0  # seconds in which a peer with no proper request gets an error or a close
+CUSTOMERS = 40
+LEAVING, TINY, STOPPING = 0.06, 0.05, 0.02  # parts of the requests: left early; with little time; never whole
+BROKEN_TEXTS = (
+    b"", b"GET /api HTTP/1.1\r\nHost: x\r\n", b"\x16\x03\x01\x02\x00" * 20, b"\r\n\r\n",
+    b"POST /api HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd")
+
+Connection = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+
+
+@dataclass(slots=True)
+class BadClient:
+    """A peer that sent no proper request."""
+
+    gateway: int
+    began: float
+    ended: float = 0.0
+    status: int = 0
+
+
+class GatewayClients:
+    """All clients of one gateway."""
+
+    def __init__(
+        self, gateway: int, port: int, deployment: Deployment, requests: dict[str, ClientRequest], seed: str,
+        is_up: Callable[[], bool],
+    ) -> None:
+        """`is_up`: whether requests may come; `requests` is shared with the backends."""
+        self.gateway, self.port, self.deployment, self.requests = gateway, port, deployment, requests
+        self.is_up, self.dice = is_up, random.Random(seed)
+        self.idle: list[Connection] = []
+        self.waiting: dict[ClientRequest, asyncio.StreamWriter] = {}
+        self.bad: list[BadClient] = []
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.numbers = 0
+
+    def spawn(self, work: asyncio.Task[None]) -> None:
+        self.tasks.add(work)
+        work.add_done_callback(self.tasks.discard)
+
+    async def run(self, rate: float, until: float) -> None:
+        """Requests at random moments, up to a moment of the monotonic clock."""
+        loop = asyncio.get_running_loop()
+        while time.monotonic() < until:
+            await asyncio.sleep(self.dice.expovariate(rate))
+            if not self.is_up():
+                continue
+            if self.dice.random() < STOPPING:
+                self.spawn(loop.create_task(self.be_bad(self.dice.choice(BROKEN_TEXTS))))
+            else:
+                self.spawn(loop.create_task(self.ask()))
+
+    def make_request(self) -> tuple[ClientRequest, bytes]:
+        self.numbers += 1
+        klass: RequestClass = self.dice.choice(self.deployment.classes)
+        call_id = f"g{self.gateway}-{self.numbers}"
+        budget = klass.deadline * self.dice.uniform(0.5, 1.0)
+        if self.dice.random() < TINY:
+            budget = self.dice.uniform(0.01, 0.15)
+        customer = f"{self.dice.randrange(CUSTOMERS):016x}"
+        made = ClientRequest(call_id, self.gateway, customer, "basis", klass.repeats, budget)
+        method, body = ("GET", b"") if klass.repeats == "repeatable" else ("POST", b"x" * 100)
+        lines = [
+            f"{method} /api?client={customer} HTTP/1.1", "Host: backend.local", f"X-Call-Id: {call_id}",
+            f"X-Call-Class: {klass.name}", "Plan: basis", f"X-Budget: {budget:.3f}",
+            f"Quota-Info: units=1,spread={self.deployment.gateways},first=0"]
+        lines += [f"Content-Length: {len(body)}"] if body else []
+        lines += [f"Idempotency-Key: {call_id}"] if klass.repeats == "by_key" else []
+        return made, "\r\n".join([*lines, "", ""]).encode() + body
+
+    async def connect(self) -> Connection:
+        return await asyncio.open_connection(HOST, self.port)
+
+    async def ask(self) -> None:
+        """One request; where its connection was closed while idle, once more on a new one."""
+        made, text = self.make_request()
+        self.requests[made.call_id] = made
+        leaves_after = self.dice.uniform(0.0, made.budget) if self.dice.random() < LEAVING else None
+        kept = bool(self.idle)
+        try:
+            connection = self.idle.pop() if kept else await self.connect()
+        except OSError:
+            del self.requests[made.call_id]  # no connection: nothing was taken
+            return
+        if await self.exchange(made, text, connection, leaves_after, kept):
+            return
+        made.written_at, made.closed_at = float("inf"), float("inf")
+        try:
+            connection = await self.connect()
+        except OSError:
+            del self.requests[made.call_id]
+            return
+        await self.exchange(made, text, connection, leaves_after, False)
+
+    async def exchange(
+        self, made: ClientRequest, text: bytes, connection: Connection, leaves_after: float | None, kept: bool
+    ) -> bool:
+        """Writes a request and reads its answer; False where a kept connection was closed under it unread."""
+        reader, writer = connection
+        made.written_at = time.monotonic()
+        writer.write(text)
+        self.waiting[made] = writer
+        within = made.budget + LATEST_ANSWER + ANSWER_SLACK
+        try:
+            async with asyncio.timeout(within if leaves_after is None else leaves_after):
+                first, headers, body = await read_message(reader)
+        except TimeoutError:
+            self.leave(made)
+            return True
+        except (OSError, asyncio.IncompleteReadError) as error:
+            made.closed_at = time.monotonic()
+            writer.close()
+            partial = bool(getattr(error, "partial", b""))
+            return partial or made.left_at < made.closed_at or not (kept and not made.attempts)
+        finally:
+            self.waiting.pop(made, None)
+        made.answered_at, made.status = time.monotonic(), int(first.split()[1])
+        made.whole = made.status != 200 or body == b"served " + made.call_id.encode()
+        if headers.get("connection") == "close":
+            writer.close()
+        else:
+            self.idle.append(connection)
+        return True
+
+    def leave(self, made: ClientRequest) -> None:
+        """Its client closes its connection."""
+        writer = self.waiting.pop(made, None)
+        if writer is not None and made.left_at == float("inf"):
+            made.left_at = time.monotonic()
+            writer.transport.abort()
+
+    def leave_many(self, part: float) -> None:
+        for made in list(self.waiting):
+            if self.dice.random() < part:
+                self.leave(made)
+
+    async def be_bad(self, text: bytes) -> None:
+        """Sends what is no whole request, and waits for what it is owed."""
+        try:
+            reader, writer = await self.connect()
+        except OSError:
+            return
+        seen = BadClient(self.gateway, time.monotonic())
+        writer.write(text)
+        try:
+            async with asyncio.timeout(BAD_CLIENT_OWED + 1.0):
+                first = await reader.readline()
+            seen.status = int(first.split()[1]) if first.startswith(b"HTTP/1.1 ") else 0
+        except (TimeoutError, OSError):
+            pass
+        seen.ended = time.monotonic()
+        writer.close()
+        if self.is_up():
+            self.bad.append(seen)
+
+    async def crowd(self, many: int, lasts: float) -> None:
+        """Connections that ask for nothing."""
+        held: list[Connection] = []
+        try:
+            for _ in range(many):
+                held.append(await self.connect())
+            await asyncio.sleep(lasts)
+        except OSError:
+            pass
+        finally:
+            for _, writer in held:
+                writer.transport.abort()
--- /dev/null
+++ b/embersill/lab/soak/plan.py
@@ -0,0 +1,129 @@
+"""What a seed draws: the size, the deployment, and what goes wrong when. The same seed draws the same."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+from enum import Enum
+
+from embersill.lab.soak.backends import Behaviour
+from embersill.lab.soak.deployment import Deployment, RequestClass
+
+SIZES = (200, 800, 3200)  # backends
+MOST_GATEWAYS = 6
+SETTLE = 1.0  # seconds of a day before anything goes wrong
+CALM_END = 1.5  # seconds at its end in which nothing begins
+LIST_WRITTEN_WITHIN = 0.3  # seconds in which an agent writes a list in pieces: the pages say, at once
+
+
+class Fault(Enum):
+    """What goes wrong; `where` names gateways, `part` a part of the backends."""
+
+    REPLACE = "a part of the backends drains and is replaced"
+    DRAIN = "a part of the backends begins to drain"
+    OUTAGE = "discovery is down"
+    BREAK_WATCHES = "open watches are reset"
+    SLOW_LISTS = "lists come whole, indented and in pieces"
+    MISBEHAVE = "a part of the backends misbehaves"
+    CRASH_BACKENDS = "backends crash, and their connections break"
+    TERMINATE = "SIGTERM, SIGKILL at the earliest, and a new process"
+    TERMINATE_TWICE = "the same, with a second SIGTERM"
+    KILL = "SIGKILL, and a new process"
+    HOLD_UP = "SIGSTOP, and SIGCONT 0.15 s later, several times"
+    RELOAD = "a new configuration with SIGHUP, several times"
+    LEAVE = "many clients leave at once"
+    CROWD = "idle clients fill the descriptors"
+
+
+WEIGHTS = {
+    Fault.REPLACE: 4, Fault.DRAIN: 4, Fault.OUTAGE: 2, Fault.BREAK_WATCHES: 2, Fault.SLOW_LISTS: 2,
+    Fault.MISBEHAVE: 5, Fault.CRASH_BACKENDS: 2, Fault.TERMINATE: 3, Fault.TERMINATE_TWICE: 1, Fault.KILL: 2,
+    Fault.HOLD_UP: 3, Fault.RELOAD: 2, Fault.LEAVE: 3, Fault.CROWD: 1}
+
+
+@dataclass(frozen=True, slots=True)
+class FaultAt:
+    """A fault and its moment, in seconds of the day."""
+
+    at: float
+    fault: Fault
+    lasts: float
+    gateway: int
+    part: float
+    behaviour: Behaviour
+
+
+@dataclass(frozen=True, slots=True)
+class ShimSetting:
+    """How system calls fail in one gateway's processes."""
+
+    part: int = 0  # of the calls, in thousandths
+    every_ms: int = 2000
+    lasts_ms: int = 150
+    clock_step: int = 0  # seconds, of processes that start from the middle of the day on
+
+    def text(self, seed: int, stepped: bool) -> str:
+        """The value of SOAK_SHIM."""
+        step = self.clock_step if stepped else 0
+        return f"seed={seed},part={self.part},every={self.every_ms},lasts={self.lasts_ms},step={step}"
+
+
+@dataclass(frozen=True, slots=True)
+class SoakPlan:
+    """One day of a soak."""
+
+    seed: int
+    seconds: float
+    backends: int
+    rate: float  # requests a second at each gateway
+    deployment: Deployment
+    faults: tuple[FaultAt, ...]
+    shims: tuple[ShimSetting, ...] = field(default=())
+
+    def describe(self) -> str:
+        """In one line."""
+        names = ", ".join(f"{f.fault.name.lower()} at {f.at:.1f}" for f in self.faults)
+        shims = ", ".join(f"{s.part}/1000 step {s.clock_step}" for s in self.shims)
+        return (f"seed {self.seed}: {self.backends} backends, {self.deployment.gateways} gateways, "
+                f"{self.seconds:.0f} s, deadlines {[c.deadline for c in self.deployment.classes]}, "
+                f"faults {names}; calls that fail {shims}")
+
+
+def draw_classes(dice: random.Random) -> tuple[RequestClass, ...]:
+    short = dice.random() < 0.5
+    deadline = dice.uniform(0.8, 1.5) if short else dice.uniform(3.0, 6.0)
+    aim = deadline * dice.uniform(0.4, 0.8)
+    scope = dice.choice(["all", "zone", "cell"])
+    window = dice.uniform(1.0, 10.0)
+    return (
+        RequestClass("view", "repeatable", aim, deadline),
+        RequestClass("sign", "by_key", aim, deadline, scope, window),
+        RequestClass("book", "once", aim, deadline))
+
+
+def draw_fault(dice: random.Random, seconds: float, gateways: int) -> FaultAt:
+    fault = dice.choices(list(WEIGHTS), list(WEIGHTS.values()))[0]
+    lasts = dice.uniform(0.5, 4.0)
+    part = dice.choice([0.05, 0.15, 0.3, 0.5])
+    behaviour = dice.choice([b for b in Behaviour if b is not Behaviour.SERVE])
+    at = dice.uniform(SETTLE, max(seconds - CALM_END, SETTLE))
+    return FaultAt(at, fault, lasts, dice.randrange(gateways), part, behaviour)
+
+
+def draw_plan(seed: int, seconds: float | None = None, most_backends: int = SIZES[-1]) -> SoakPlan:
+    """`seconds`: of the day, where it is not to be drawn from 20 to 60."""
+    dice = random.Random(f"soak {seed}")
+    length = dice.uniform(20.0, 60.0)
+    length = length if seconds is None else seconds
+    backends = min(dice.choice(SIZES), most_backends)
+    gateways = dice.randint(1, MOST_GATEWAYS)
+    deployment = Deployment(
+        gateways, draw_classes(dice), rate=dice.choice([5.0, 40.0]), burst=dice.choice([10.0, 80.0]),
+        ceiling=dice.choice([0.0, 2.0]), cold_from=dice.uniform(0.15, 0.5),
+        warm_within=dice.uniform(4.0, 18.0), keepalive=dice.choice([1.0, 15.0]))
+    many = max(3, round(length / 3.0))
+    faults = sorted((draw_fault(dice, length, gateways) for _ in range(many)), key=lambda f: f.at)
+    shims = tuple(
+        ShimSetting(dice.choice([0, 50, 300]), clock_step=dice.choice([0, 0, 3, -3, 3600, -3600]))
+        for _ in range(gateways))
+    return SoakPlan(seed, length, backends, dice.uniform(10.0, 40.0), deployment, tuple(faults), shims)
--- a/embersill/net/discovery.py
+++ b/embersill/net/discovery.py
@@ -90,6 +90,9 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is one in all but its bases
 
+    def is_up(self) -> bool:
+        return self.transport is not None and not self.transport.is_closing()
+
     def ask(self, target: str, host: str) -> asyncio.Future[bytes]:
         assert self.transport is not None
         self.body.clear()
@@ -328,6 +331,8 @@
         self.figures["list asked"] += 1
         self.asked_at = self.loop.time()
         async with asyncio.timeout(wait + self.patience(wait)) as limit:
+            if self.connection is not None and not self.connection.is_up():
+                self.drop()  # it has ended between two calls
             if self.connection is None:
                 self.dialling = limit
                 try:
--- a/tests/test_incident_drain.py
+++ b/tests/test_incident_drain.py
@@ -60,6 +60,29 @@
     run(test)
 
 
+@pytest.mark.parametrize("whole", [False, True])
+def test_a_connection_that_ends_between_two_calls_is_replaced_at_once(
+    whole: bool, tmp_path: pathlib.Path
+) -> None:
+    """Found by the soak, seed 3: a call on a connection that had ended got no answer, and waited for it."""
+
+    async def test() -> None:
+        async with soak_bed(tmp_path, 300) as bed:
+            bed.agent.faults.whole_lists = whole
+            for turn in range(12):
+                bed.agent.hear([bed.entry(bed.names[turn], "DRAINING")])
+                await asyncio.sleep(0.01)  # it is told, and the next call is not made yet
+                bed.agent.break_watches()
+                bed.agent.hear([bed.entry(bed.names[100 + turn], "DRAINING")])
+                calls = bed.agent.calls
+                async with asyncio.timeout(0.5):
+                    while bed.agent.calls == calls:
+                        await asyncio.sleep(0.005)
+                await asyncio.sleep(0.1)
+
+    run(test)
+
+
 @pytest.mark.parametrize(("piece", "every", "ends_within"), [
     (0, 0.0, 0.15),  # silent after its first byte
     (1, 0.02, 0.45),  # drips for ever: too slow, though never silent
