--- a/embersill/lab/soak/backends.py
+++ b/embersill/lab/soak/backends.py
@@ -126,8 +126,13 @@
             self.server.unknown.append(call_id)
             return self.answer(b"HTTP/1.1 400 X\r\nContent-Length: 0\r\n\r\n", AttemptEnd.ANSWERED)
         self.attempt = attempt = Attempt(
-            request.gateway, self.model.name, self.first_byte_at, time.monotonic(),
-            float(headers[b"x-budget"]), descriptor=self.transport.get_extra_info("socket").fileno())
+            request.gateway,
+            self.model.name,
+            self.first_byte_at,
+            time.monotonic(),
+            float(headers[b"x-budget"]),
+            descriptor=self.transport.get_extra_info("socket").fileno(),
+        )
         self.server.attempted(request, attempt)
         request.attempts.append(attempt)
         self.model.attempts.append(attempt)
@@ -163,7 +168,7 @@
                 self.transport.close()
             case Behaviour.PIECES:
                 for place in range(0, len(whole), 7):
-                    self.loop.call_later(0.0005 * place, self.write, whole[place:place + 7])
+                    self.loop.call_later(0.0005 * place, self.write, whole[place : place + 7])
                 self.end_attempt(AttemptEnd.ANSWERED)
 
     def answer(self, text: bytes, end: AttemptEnd) -> None:
--- a/embersill/net/list_feed.py
+++ b/embersill/net/list_feed.py
@@ -45,6 +45,7 @@
         if len(body) < SLICED_FROM:
             return parse_listing(body)
         import msgspec
+
         try:
             text = list_decoder().decode(body)
         except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
@@ -84,13 +85,16 @@
         named = {entry.backend.address: entry for entry in listing.entries}  # of two for one the last counts
         new = [entry for address, entry in named.items() if self.held.get(address) != entry]
         if listing.whole:
-            new += [replace(entry, backend=replace(entry.backend, status=Status.GONE))
-                    for address, entry in self.held.items() if address not in named]
+            new += [
+                replace(entry, backend=replace(entry.backend, status=Status.GONE))
+                for address, entry in self.held.items()
+                if address not in named
+            ]
         new.sort(key=lambda entry: entry.backend.status is Status.SERVING)  # what drains goes first
         for first in range(0, max(len(new), 1), SLICE):
             if first:
                 await asyncio.sleep(0)
-            self.tell(ListKind.CHANGES, listing.generation, tuple(new[first:first + SLICE]))
+            self.tell(ListKind.CHANGES, listing.generation, tuple(new[first : first + SLICE]))
 
     def tell(self, kind: ListKind, generation: int, entries: tuple[Entry, ...]) -> None:
         if kind is not ListKind.CHANGES:
--- /dev/null
+++ b/tests/soak_mutants/__main__.py
@@ -0,0 +1,66 @@
+"""python -m tests.soak_mutants [NAME ...]: plants each fault in real gateways and plays until a rule breaks.
+
+The checkers of the soak are checked by it: each mutant has to be caught within ten seeds, by a rule that is
+its own. It is run by hand, as it takes some minutes.
+"""
+
+from __future__ import annotations
+
+import pathlib
+import sys
+import tempfile
+
+from embersill.lab.soak.plan import draw_plan
+from embersill.lab.soak.play import build_shim, play_plan
+
+MOST_SEEDS, SECONDS, BACKENDS = 10, 10.0, 200
+# the rules by which each may be found
+MUTANTS = {
+    "sends to what drains": {"drain"},
+    "stops following the list": {"drain"},
+    "goes on for clients that left": {"lost"},
+    "tells backends more time": {"deadline"},
+    "sends two copies": {"duplicate", "repeat"},
+    "takes every failure for harmless": {"repeat"},
+    "repeats keyed requests anywhere": {"repeat"},
+    "changes answers": {"lost"},
+    "forgets to answer": {"lost"},
+    "closes without an answer": {"lost"},
+    "crashes": {"crash"},
+    "takes cold backends for warm": {"failback"},
+    "passes ceilings": {"ceiling"},
+    "leaks descriptors": {"descriptors", "lost", "crash", "bad input", "ready"},
+    "leaks memory": {"memory"},
+    "waits for half requests for ever": {"bad input"},
+    "drops all at SIGTERM": {"lost", "crash"},
+}
+
+
+def caught_at(name: str, folder: pathlib.Path, shim: pathlib.Path) -> tuple[int, str]:
+    """The seed at which a mutant is caught, or 0, and by what."""
+    environment = {"PYTHONPATH": str(pathlib.Path(__file__).parent), "SOAK_MUTANT": name}
+    for seed in range(1, MOST_SEEDS + 1):
+        plan = draw_plan(seed, SECONDS, BACKENDS)
+        result, _ = play_plan(plan, folder / f"{name.replace(' ', '-')}-{seed}", shim, environment)
+        found = [v for v in result.violations if v.rule in MUTANTS[name]]
+        if found:
+            return seed, str(found[0])
+    return 0, "not caught"
+
+
+def main(names: list[str]) -> int:
+    """0 where every mutant was caught."""
+    missed = 0
+    with tempfile.TemporaryDirectory() as own:
+        folder = pathlib.Path(own)
+        shim = build_shim(folder)
+        for name in names or list(MUTANTS):
+            seed, what = caught_at(name, folder, shim)
+            missed += not seed
+            print(f"{name}: seed {seed or '-'}: {what}", flush=True)
+    print(f"{len(names or MUTANTS) - missed} caught, {missed} not caught")
+    return 1 if missed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/tests/soak_mutants/sitecustomize.py
@@ -0,0 +1,151 @@
+# mypy: ignore-errors
+# (it puts other functions in the place of methods, which is what a mutant is)
+"""Loaded at the start of a gateway that the mutants' run starts: plants the fault that SOAK_MUTANT names.
+
+In no other process: it stands on the path only where tests/soak_mutants.py puts it.
+"""
+
+from __future__ import annotations
+
+import os
+import sys
+
+
+def plant(name: str) -> None:
+    """One fault for each rule."""
+    from embersill import control
+    from embersill.interface import Outcome, Status
+    from embersill.net import backends, clients, discovery, driver, pool
+    from embersill.serving_set import ServingSet
+
+    count = {"n": 0}
+
+    def every(times: int) -> bool:
+        count["n"] += 1
+        return count["n"] % times == 0
+
+    if name == "sends to what drains":
+        take_entry = control.Gateway.take_entry
+
+        def keeps_draining(self, backend):
+            if backend.status is Status.SERVING or self.servers.get(backend.address) is None:
+                take_entry(self, backend)
+
+        control.Gateway.take_entry = keeps_draining
+    elif name == "stops following the list":
+        run = discovery.Discovery.run
+
+        async def follows_once(self):
+            self.heard.set()
+            if not self.newest:
+                await run(self)
+
+        discovery.Discovery.run = follows_once
+    elif name == "goes on for clients that left":
+        driver.Driver.client_left = lambda self, number: None
+        driver.Driver.is_abandoned = lambda self, pending: pending.over
+    elif name == "tells backends more time":
+        use = pool.Pool.use
+
+        def tells_more(self, place, link, attempt):
+            carry, link.carry = link.carry, lambda a, wait: carry(a, wait + 1.0)
+            use(self, place, link, attempt)
+            del link.carry
+
+        pool.Pool.use = tells_more
+    elif name == "sends two copies":
+        start = backends.Dialer.start
+
+        def starts_two(self, attempt):
+            if every(20):
+                copy = backends.Attempt(
+                    attempt.backend,
+                    attempt.head,
+                    attempt.body,
+                    attempt.sent_at,
+                    attempt.until,
+                    lambda a, answer: None,
+                    lambda a, headers, length: None,
+                )
+                start(self, copy)
+            start(self, attempt)
+
+        backends.Dialer.start = starts_two
+    elif name == "takes every failure for harmless":
+        Outcome.never_ran = property(lambda self: True)
+    elif name == "repeats keyed requests anywhere":
+        control.group_of = lambda klass, server: ""
+        ServingSet.group = lambda self, scope, key: self.all.items
+    elif name == "changes answers":
+        finish = driver.Driver.finish
+
+        def changes(self, pending, status=0, body=b"", headers=b"", reason=""):
+            finish(self, pending, status, body[:-1] if status == 200 and every(20) else body, headers, reason)
+
+        driver.Driver.finish = changes
+    elif name == "forgets to answer":
+        refuse = driver.Driver.refuse
+        driver.Driver.rescue = lambda self, pending: None
+        driver.Driver.refuse = lambda self, action: None if every(2) else refuse(self, action)
+    elif name == "closes without an answer":
+        answer = clients.Exchange.answer
+
+        def closes(self, status, body, headers=b""):
+            if status == 200 and self.number and every(40):
+                self.connection.reset()
+            else:
+                answer(self, status, body, headers)
+
+        clients.Exchange.answer = closes
+    elif name == "crashes":
+        take = driver.Driver.take
+
+        def crashes(self, call, exchange):
+            if every(120):
+                os._exit(1)
+            return take(self, call, exchange)
+
+        driver.Driver.take = crashes
+    elif name == "takes cold backends for warm":
+        control.Server.cold_share = lambda self, now, settings: 1.0
+    elif name == "passes ceilings":
+        refill = control.Throttle.refill
+
+        def unbounded(self, now):
+            refill(self, now)
+            self.cap, self.level = 1e6, max(self.level, self.bank)
+
+        control.Throttle.refill = unbounded
+    elif name == "leaks descriptors":
+        take_socket = clients.Front.take
+
+        def leaks(self, sock, asked=False, served=False):
+            for _ in range(20):
+                try:
+                    os.dup(sock.fileno())
+                except OSError:
+                    break
+            take_socket(self, sock, asked, served)
+
+        clients.Front.take = leaks
+    elif name == "leaks memory":
+        kept, taken = [], driver.Driver.take
+
+        def keeps(self, call, exchange):
+            kept.append(bytearray(os.urandom(64)) * 16384)
+            return taken(self, call, exchange)
+
+        driver.Driver.take = keeps
+    elif name == "waits for half requests for ever":
+        clients.ClientConnection.hurry = lambda self, now: None
+    elif name == "drops all at SIGTERM":
+        import embersill.__main__
+
+        embersill.__main__.Program.end = lambda self: os._exit(0)
+    else:
+        raise ValueError(f"no mutant {name!r}")
+
+
+if os.environ.get("SOAK_MUTANT"):
+    sys.path.insert(0, os.getcwd())
+    plant(os.environ["SOAK_MUTANT"])
