Have a gateway use fewer of thousands of backends, and measure what it needs as the list grows

Change: where there are thousands of backends, each has a place for as many gateways as let one use 48 of them, and for two at the least; nothing changes where there are up to six for each gateway. A few random picks come before a search of a long list. Cold ones are looked at as a whole less often where there are many.

--- a/embersill/control.py
+++ b/embersill/control.py
@@ -72,11 +72,15 @@
 RETRY_SHARE = 0.15  # further attempts earned by each first one: bounds what retries add in a bad hour
 RETRY_STORE = 10.0  # further attempts that may be saved up: enough for one backend's sudden end
 CHOICES = 2  # candidates drawn for each send: two see the load, and more would herd on one gateway's view
-COVER = 8  # gateways that use a backend, at the least: it bears the loss of some, and is drawn on evenly
+COVER = 8  # gateways that use a backend, where backends are few: it bears the loss of some, and is drawn on
+# evenly
+LEAST_COVER = 2  # and at the least, so that it bears the loss of one
 APERTURE = 12  # backends that a gateway uses, at the least; one more costs a connection for little choice
+MOST_APERTURE = 48  # from which COVER gives way: with small backends in thousands each has a place for fewer
 WEIGH_EVERY = 0.25  # seconds that the draw's weights may be old: a cold backend gains 1 to 3% of its full
 FEW_TO_WEIGH = 256  # backends that a gateway uses up to which that holds, and a change is weighed at once;
 # for more of them the time grows in step, so that weighing costs the same
+FEW_TO_SCAN, PICKS = 64, 16  # backends up to which all are looked at where draws fail; picks among more
 SCAN_MOST = 1024  # backends looked at, from a random one on, where none of those drawn is fit
 DRAWS = 8  # draws for these: with half of the fleet unfit one in 256 fails, and a scan is made
 LEAST_ADVICE = 0.05  # seconds told to come back in at the least: a try at once would find the same
@@ -231,7 +235,7 @@
         self.passed, self.judged = 1.0, now
         self.flight, self.limit = 0, float("inf")  # attempts out and not late, and how many may be
         self.paced, self.paced_at = 0.0, now  # requests served, of which a part is forgotten with time
-        self.capacity = 1.0  # of those that serve, in warm backends
+        self.cold_capacity, self.warm_up_at = 0.0, now  # of the cold ones, as it was when they were looked at
         self.quiet_until, self.count_fails = now, 0
         self.counted_part = min(1.0, COUNTED_GATEWAYS / settings.gateways)
         self.budget: CallBudget | None = None
@@ -563,9 +567,17 @@
             if found >= CHOICES and least < SHUN * job.klass.aim:
                 break
         if best is None or self.held_against(best) >= FAILING:
-            best = self.find_fit(job, self.some_of(pool))
+            best = self.pick_sound(job, pool) or self.find_fit(job, self.some_of(pool))
         return best
 
+    def pick_sound(self, job: Job, pool: Sequence[Server]) -> Server | None:
+        """A random one of the sound ones that may be sent to, if a few picks find one in a long list."""
+        for _ in range(PICKS if len(pool) > FEW_TO_SCAN else 0):
+            server = pool[int(self.random.random() * len(pool))]
+            if self.held_against(server) < FAILING and self.may_send(job, server):
+                return server
+        return None
+
     def find_fit(self, job: Job, pool: Sequence[Server]) -> Server | None:
         """One that may be sent to, where draws found none that is sound: looks at each of the pool."""
         # what fails at once has always room: it draws all that the others are too full for
@@ -604,10 +616,8 @@
 
         The part grows for a gateway that finds too few sound backends in its own.
         """
-        shares = [(s, s.cold_share(self.now, self.settings)) for s in self.serving.cold]
-        self.serving.cold = {server: None for server, share in shares if share < 1.0}
-        warm = len(self.serving) - len(shares)
-        self.capacity = max(warm + sum(share for _, share in shares), EPS)
+        if self.now >= self.warm_up_at:
+            self.warm_up()
         self.sizes = self.serving.sizes()
         width = self.cover(self.order)
         while True:
@@ -622,9 +632,22 @@
         self.weigh_at = self.now + WEIGH_EVERY * max(1.0, len(self.drawable) / FEW_TO_WEIGH)
         self.serving.changed = False
 
+    def warm_up(self) -> None:
+        """Looks at all cold ones, less often where there are many."""
+        shares = [(s, s.cold_share(self.now, self.settings)) for s in self.serving.cold]
+        self.serving.cold = {server: None for server, share in shares if share < 1.0}
+        self.cold_capacity = sum(share for _, share in shares if share < 1.0)
+        self.warm_up_at = self.now + WEIGH_EVERY * max(1.0, len(shares) / FEW_TO_WEIGH)
+
+    @property
+    def capacity(self) -> float:
+        """Of those that serve, in warm backends."""
+        return max(len(self.serving) - len(self.serving.cold) + self.cold_capacity, EPS)
+
     def cover(self, pool: Sequence[Server]) -> int:
         """Gateways that use each backend."""
-        return max(COVER, ceil(APERTURE * self.settings.gateways / max(len(pool), 1)))
+        each = self.settings.gateways / max(len(pool), 1)
+        return max(LEAST_COVER, min(COVER, ceil(MOST_APERTURE * each)), ceil(APERTURE * each))
 
     def weight(self, server: Server, width: int) -> float:
         """For what it can do now, shared by those gateways that have a place there."""
@@ -859,7 +882,8 @@
         server.load += (1 - exp((server.noted - self.now) / LOAD_OVER)) * (server.flight - server.load)
         server.noted = self.now
         # the least is a part of one over the fleet: those keep one that have a place there
-        keep = max(float(server.place < COVER), ceil(server.load + LOAD_CHANCE * sqrt(server.load)))
+        has_place = server.place < min(COVER, self.cover(self.order))
+        keep = max(float(has_place), ceil(server.load + LOAD_CHANCE * sqrt(server.load)))
         if keep != server.keep:
             server.keep = keep
             self.tell_size(server)
@@ -1068,7 +1092,9 @@
     def let_serve(self, server: Server) -> None:
         """Has a server drawn from now on, unless it is not to be."""
         if server.backend.status is Status.SERVING and server.backend.address not in self.banned:
-            self.serving.add(server, server.cold_share(self.now, self.settings) < 1.0)
+            share = server.cold_share(self.now, self.settings)
+            self.serving.add(server, share < 1.0)
+            self.cold_capacity += share if share < 1.0 else 0.0
 
     def unknown(self, backend: Backend) -> Server:
         """A backend of which nothing is learned yet."""
@@ -1091,7 +1117,7 @@
 
     def put_in_order(self) -> None:
         """Files all servers anew, after what may have changed any of them."""
-        self.serving = ServingSet(self.serving.scopes)
+        self.serving, self.cold_capacity = ServingSet(self.serving.scopes), 0.0
         for server in self.servers.values():
             self.let_serve(server)
         self.blamed = {s: None for s in self.servers.values() if s.bad > 0}
--- a/embersill/lab/__main__.py
+++ b/embersill/lab/__main__.py
@@ -22,6 +22,8 @@
 from embersill.lab.scale.arguments import add_parser as add_scale_parser
 from embersill.lab.soak.command import add_parser as add_soak_parser
 from embersill.lab.soak.command import run_command as run_soak
+from embersill.lab.soak.growth import add_parser as add_growth_parser
+from embersill.lab.soak.growth import run_command as run_growth
 from embersill.lab.versions import BadVersion, policy_files
 
 SHIPPED = pathlib.Path(__file__).parent / "scenarios"
@@ -61,6 +63,7 @@
                       help="TOML: a figure for each name, to whose ranking this one is held")
     add_scale_parser(commands)
     add_soak_parser(commands)
+    add_growth_parser(commands)
     report = commands.add_parser("report", help="write the page of an --out folder again")
     report.add_argument("folder", type=pathlib.Path)
     return made
@@ -252,6 +255,8 @@
             return show_list()
         if told.command == "soak":
             return run_soak(told)
+        if told.command == "growth":
+            return run_growth(told)
         if told.command == "scale":
             from embersill.lab.scale.command import run_command  # needs the list service's packages too
 
--- a/embersill/lab/peers.py
+++ b/embersill/lab/peers.py
@@ -48,6 +48,8 @@
 
 def reset(writer: asyncio.StreamWriter) -> None:
     """Ends the connection so that the other side sees it broken, not only closed for sending."""
+    if writer.transport.is_closing():
+        return
     sock = writer.get_extra_info("socket")
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     writer.transport.abort()
--- a/embersill/lab/soak/backends.py
+++ b/embersill/lab/soak/backends.py
@@ -62,6 +62,7 @@
         self.attempted: Callable[[ClientRequest, Attempt], None] = lambda request, attempt: None
         self.port = 0
         self.connections: set[BackendProtocol] = set()
+        self.accepted = 0  # connections so far
         self.server: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -105,6 +106,7 @@
         self.transport = cast(asyncio.Transport, transport)
         self.model = self.server.by_address[transport.get_extra_info("sockname")[0]]
         self.server.connections.add(self)
+        self.server.accepted += 1
 
     def data_received(self, data: bytes) -> None:
         if not self.received:
--- a/embersill/lab/soak/deployment.py
+++ b/embersill/lab/soak/deployment.py
@@ -38,6 +38,7 @@
     keepalive: float = 15.0
     memory_mb: int = 96
     sockets: int = 640
+    told_gateways: int = 0  # how many the settings say there are, where these are a part of a larger fleet
 
     def kill_after(self) -> float:
         """Seconds after SIGTERM at which SIGKILL may come."""
@@ -47,7 +48,7 @@
         """The settings object of a gateway's configuration, in milliseconds."""
         return {
             "me": me,
-            "balancers": self.gateways,
+            "balancers": self.told_gateways or self.gateways,
             "zone": "a",
             "membership_mode": "pushed",
             "services": [
--- a/embersill/lab/soak/discovery_agent.py
+++ b/embersill/lab/soak/discovery_agent.py
@@ -61,6 +61,7 @@
         self.faults, self.told = AgentFaults(), Told()
         self.wake = asyncio.Event()
         self.calls = 0
+        self.bytes_written = 0
         self.written_at = 0.0  # when the last whole answer was written
 
     def known(self) -> dict[str, Any]:
@@ -125,6 +126,7 @@
 
     async def write(self, writer: asyncio.StreamWriter, text: bytes) -> None:
         size = self.faults.piece or len(text)
+        self.bytes_written += len(text)
         for place in range(0, len(text), size):
             if writer.transport.is_closing():
                 raise ConnectionResetError
--- a/embersill/lab/soak/plan.py
+++ b/embersill/lab/soak/plan.py
@@ -91,6 +91,7 @@
     deployment: Deployment
     faults: tuple[FaultAt, ...]
     shims: tuple[ShimSetting, ...] = field(default=())
+    work: float = 0.01  # seconds that a request takes at a backend, in the mean
 
     def describe(self) -> str:
         """In one line."""
@@ -135,8 +136,8 @@
     deployment = Deployment(
         gateways,
         draw_classes(dice),
-        rate=dice.choice([5.0, 40.0]),
-        burst=dice.choice([10.0, 80.0]),
+        rate=(rate := dice.choice([1.0, 5.0, 40.0])),
+        burst=2.0 * rate,
         ceiling=dice.choice([0.0, 2.0]),
         cold_from=dice.uniform(0.15, 0.5),
         warm_within=dice.uniform(4.0, 18.0),
@@ -148,4 +149,5 @@
         ShimSetting(dice.choice([0, 50, 300]), clock_step=dice.choice([0, 0, 3, -3, 3600, -3600]))
         for _ in range(gateways)
     )
-    return SoakPlan(seed, length, backends, dice.uniform(10.0, 40.0), deployment, tuple(faults), shims)
+    rate, work = dice.uniform(10.0, 40.0), dice.choice([0.01, 0.05, 0.2])
+    return SoakPlan(seed, length, backends, rate, deployment, tuple(faults), shims, work)
--- a/embersill/lab/soak/play.py
+++ b/embersill/lab/soak/play.py
@@ -35,6 +35,7 @@
 OVER_AFTER = 1.5  # seconds after the last request's deadline
 REPLACE_OVER = 3.0  # seconds in which a part of the backends is replaced
 GONE_AFTER = 1.5  # seconds from a backend's drain to its end
+WARM_RATE = 1.25  # times what a backend gets in the mean: what a warm one can do
 MOST_TOO_LATE = 0.25  # seconds of lag of the peers themselves, from which a play says nothing
 
 
@@ -73,7 +74,11 @@
     late: float = 0.0  # seconds, of the peers themselves
     peak_memory_mb: float = 0.0
     most_descriptors: int = 0
-    processor_seconds: float = 0.0
+    processor_seconds: float = 0.0  # of all gateways that run at the end
+    mean_memory_mb: float = 0.0  # of their peaks
+    mean_descriptors: float = 0.0  # of those of each at the most
+    connections: int = 0  # made to backends
+    list_bytes: int = 0  # that the agents wrote
 
     @property
     def void(self) -> bool:
@@ -99,6 +104,8 @@
         self.names = [f"b{number}" for number in range(plan.backends)]
         self.backends = BackendServer(self.names, self.requests, plan.seed)
         self.backends.attempted = self.attempted
+        for model in self.backends.models.values():
+            model.work = plan.work
         self.states = dict.fromkeys(self.names, "SERVING")
         self.started: dict[str, float] = dict.fromkeys(self.names, 0.0)
         self.cold_starts: dict[str, list[float]] = {}
@@ -109,6 +116,7 @@
         self.lives: list[ProcessLife] = []
         self.reloads: dict[int, list[float]] = {}
         self.violations: list[Violation] = []
+        self.descriptors: dict[int, int] = {}  # of each gateway, at the most
         self.busy: set[int] = set()  # gateways that are being restarted
         self.tasks: set[asyncio.Task[None]] = set()
         self.result = PlayResult(plan)
@@ -212,9 +220,15 @@
     def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = self.loop.create_task(work)
         self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        task.add_done_callback(self.ended)
         return task
 
+    def ended(self, task: asyncio.Task[None]) -> None:
+        """A fault that could not happen makes the play say less than it seems to: it counts as broken."""
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.violations.append(Violation("soak", "", f"a part of the play failed: {task.exception()!r}"))
+
     def hear(self, names: list[str]) -> None:
         """All agents are told of changes, each a little later."""
         entries = [self.entry(name) for name in names]
@@ -368,12 +382,18 @@
             self.result.late = max(self.result.late, time.monotonic() - due)
             for gateway in self.gateways:
                 if gateway.running:
-                    self.result.most_descriptors = max(self.result.most_descriptors, gateway.descriptors())
+                    held = gateway.descriptors()
+                    self.descriptors[gateway.number] = max(self.descriptors.get(gateway.number, 0), held)
+            self.result.most_descriptors = max(self.descriptors.values(), default=0)
 
     def measure(self) -> None:
         running = [gateway for gateway in self.gateways if gateway.running]
         self.result.peak_memory_mb = max((g.peak_memory_mb() for g in running), default=0.0)
         self.result.processor_seconds = sum(g.processor_seconds() for g in running)
+        self.result.mean_memory_mb = sum(g.peak_memory_mb() for g in running) / max(len(running), 1)
+        self.result.mean_descriptors = sum(self.descriptors.values()) / max(len(self.descriptors), 1)
+        self.result.connections = self.backends.accepted
+        self.result.list_bytes = sum(agent.bytes_written for agent in self.agents)
         limits = self.plan.deployment
         if self.result.peak_memory_mb > limits.memory_mb:
             self.violations.append(Violation("memory", "", f"{self.result.peak_memory_mb:.0f} MB"))
@@ -382,7 +402,7 @@
 
     def judge(self) -> None:
         plan, requests = self.plan, list(self.requests.values())
-        total = plan.rate * plan.deployment.gateways
+        total = plan.rate * (plan.deployment.told_gateways or plan.deployment.gateways)
         groups = {"all": dict.fromkeys(self.names, ""), "zone": {}, "cell": {}}
         for name in self.names:
             entry = self.entry(name)
@@ -396,7 +416,7 @@
             self.reloads,
             self.lives,
             [bad for clients in self.clients for bad in clients.bad],
-            2.0 * total / len(self.names),
+            WARM_RATE * total / len(self.names),
             min(self.result.late, MOST_TOO_LATE),
             groups,
         )
--- a/tests/soak_mutants/__main__.py
+++ b/tests/soak_mutants/__main__.py
@@ -9,8 +9,10 @@
 import pathlib
 import sys
 import tempfile
+from dataclasses import replace
 
-from embersill.lab.soak.plan import draw_plan
+from embersill.lab.soak.backends import Behaviour
+from embersill.lab.soak.plan import Fault, FaultAt, SoakPlan, draw_plan
 from embersill.lab.soak.play import build_shim, play_plan
 
 MOST_SEEDS, SECONDS, BACKENDS = 10, 10.0, 200
@@ -36,11 +38,25 @@
 }
 
 
+def plan_for(name: str, seed: int) -> SoakPlan:
+    """A drawn day; a fault that shows only under load gets one with few busy backends and a release."""
+    plan = draw_plan(seed, SECONDS, BACKENDS)
+    if name == "goes on for clients that left":
+        rejecting = FaultAt(1.0, Fault.MISBEHAVE, SECONDS, 0, 0.6, Behaviour.REJECT)
+        return replace(plan, work=0.4, faults=(rejecting,))
+    if name != "takes cold backends for warm":
+        return plan
+    release = FaultAt(2.0, Fault.REPLACE, 0.0, 0, 0.2, Behaviour.SERVE)
+    deployment = replace(plan.deployment, cold_from=0.15, warm_within=18.0, rate=1000.0, burst=1000.0)
+    rate = 300.0 / plan.deployment.gateways
+    return replace(plan, backends=14, rate=rate, deployment=deployment, faults=(release,))
+
+
 def caught_at(name: str, folder: pathlib.Path, shim: pathlib.Path) -> tuple[int, str]:
     """The seed at which a mutant is caught, or 0, and by what."""
     environment = {"PYTHONPATH": str(pathlib.Path(__file__).parent), "SOAK_MUTANT": name}
     for seed in range(1, MOST_SEEDS + 1):
-        plan = draw_plan(seed, SECONDS, BACKENDS)
+        plan = plan_for(name, seed)
         result, _ = play_plan(plan, folder / f"{name.replace(' ', '-')}-{seed}", shim, environment)
         found = [v for v in result.violations if v.rule in MUTANTS[name]]
         if found:
--- a/tests/soak_mutants/sitecustomize.py
+++ b/tests/soak_mutants/sitecustomize.py
@@ -32,6 +32,8 @@
                 take_entry(self, backend)
 
         control.Gateway.take_entry = keeps_draining
+        pool.Pool.retire = lambda self, backend: None
+        pool.Pool.forget_others = lambda self, known: None
     elif name == "stops following the list":
         run = discovery.Discovery.run
 
