--- a/embersill/directory/logfile.py
+++ b/embersill/directory/logfile.py
@@ -96,7 +96,7 @@
             os.close(self.lock)
             raise Corrupt(f"{folder} is in use by another process") from error
         self.file, self.size, self.seq = -1, 0, 0
-        self.broken = ""  # why nothing can be written until the service is started again
+        self.broken = ""  # why nothing can be appended to this file any more
         self.cut = 0  # bytes of a half-written batch that the start took away
         self.fresh = False  # the folder held no list
         self.store = Store(history)
@@ -203,6 +203,20 @@
         except OSError as error:
             self.broken = f"the log could not be cut after a failed write: {error.strerror}"
 
+    def recover(self, content: dict[str, Any]) -> None:
+        """After a failed sync: this list as a snapshot, and a log behind it, in new files; NotWritten if not.
+
+        What the old file holds is not known, and a second sync of it would not tell. New ones that were
+        synced whole do not rest on it.
+        """
+        try:
+            self.replace("snapshot", line_of({"form": FORM, "seq": self.seq, "list": content}))
+            self.begin_log()
+        except OSError as error:
+            raise NotWritten(f"{self.broken}; and new files: {error.strerror}") from error
+        log.warning("the log is written anew, as this had failed: %s", self.broken)
+        self.broken = ""
+
     def due(self) -> bool:
         return self.size >= self.compact_at and not self.broken
 
--- a/embersill/directory/service.py
+++ b/embersill/directory/service.py
@@ -16,6 +16,7 @@
 from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass
+from math import inf
 from typing import Any
 
 from embersill.directory.form import BadForm, Record, record_to_json
@@ -30,6 +31,7 @@
 # and a drain has a second
 MOST_WATCHERS = 2000  # ten times the fleet of 200 gateways; each costs a connection and some KB
 MOST_BATCH = 256  # writes synced together: bounds how long the first of them waits
+RECOVER_EVERY = 1.0  # seconds between tries to write the log anew after it could not be synced
 CACHED = 64  # encoded answers kept of one version: watchers stand at few versions
 BACK_IN = (1.0, 5.0)  # seconds told to readers without a place: many are turned away together
 FOLLOWER = "follows"  # the file that marks a folder as a copy
@@ -79,6 +81,7 @@
         mark_role(options)
         self.store = self.log.store
         self.leases = Leases(clock(), options.share)
+        self.recover_at = -inf  # when new files may be tried after the log could not be synced
         self.began = clock()
         self.told_from: float | None = (
             None if self.log.fresh else self.began
@@ -264,7 +267,14 @@
         self.disk = asyncio.get_running_loop().run_in_executor(None, call, content)
         await asyncio.shield(self.disk)
 
+    async def recover_log(self) -> None:
+        """Where the log can't be appended to: tries new files, at most once in RECOVER_EVERY."""
+        if self.log.broken and self.clock() >= self.recover_at:
+            self.recover_at = self.clock() + RECOVER_EVERY
+            await self.on_disk(self.log.recover, self.store.to_json())
+
     async def store_batch(self, records: list[Record]) -> None:
+        await self.recover_log()
         await self.on_disk(self.log.append, records)
         self.store.apply(records)
         for record in records:
--- a/tests/test_directory_log.py
+++ b/tests/test_directory_log.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import os
 import pathlib
 import resource
@@ -253,3 +254,47 @@
         assert done.returncode == -signal.SIGKILL, done.stderr
         killed += 1
     assert killed > 20 and said[-1:] == ["end"]
+
+
+@pytest.mark.parametrize("error", [errno.EIO, errno.ENOSPC])
+def test_after_a_failed_sync_the_list_goes_on_in_new_files(
+    error: int, tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The old file's content is not known; what was acknowledged stands in the new ones, and writes go on."""
+    log = Log(tmp_path)
+    add(log, "a")
+
+    def fails(file: int) -> None:
+        raise OSError(error, "the disk")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(os, "fdatasync", fails)
+        with pytest.raises(NotWritten):
+            add(log, "b")
+        patch.setattr(os, "fsync", fails)
+        with pytest.raises(NotWritten, match="new files"):
+            log.recover(log.store.to_json())
+        with pytest.raises(NotWritten, match="synced"):
+            add(log, "b")
+    assert (tmp_path / "snapshot").exists() is False
+    log.recover(log.store.to_json())
+    add(log, "c")
+    log.close()
+    assert ids(tmp_path) == ["a", "c"]
+
+
+def test_a_half_made_recovery_leaves_what_was_acknowledged(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The snapshot is new and the log is still the old one, whose last batch was never acknowledged."""
+    log = Log(tmp_path)
+    add(log, "a")
+    with monkeypatch.context() as patch:
+        patch.setattr(os, "fdatasync", lambda file: (_ for _ in ()).throw(OSError(errno.EIO, "the disk")))
+        with pytest.raises(NotWritten):
+            add(log, "b")
+        patch.setattr(Log, "begin_log", lambda log: (_ for _ in ()).throw(OSError(errno.ENOSPC, "full")))
+        with pytest.raises(NotWritten):
+            log.recover(log.store.to_json())
+    log.close()
+    assert ids(tmp_path) == ["a"]
--- a/tests/test_directory_service.py
+++ b/tests/test_directory_service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import pathlib
 import resource
 import shutil
@@ -20,6 +21,7 @@
 from embersill.directory.__main__ import Program
 from embersill.directory.front import BoundedLog
 from embersill.directory.logfile import NotWritten
+from embersill.directory.service import RECOVER_EVERY
 from embersill.lab.peers import HOST, read_message
 from embersill.net.listing import read_listing
 from tests.lists import ROOT, Caller, Process, process, run, served
@@ -382,6 +384,32 @@
     run(test)
 
 
+def test_writes_go_on_after_a_sync_that_failed_for_a_while(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def test() -> None:
+        now = [1000.0]
+        async with served(tmp_path) as (program, calls):
+            set_clock(program, now)
+            await calls.register("a")
+
+            def fails(file: int) -> None:
+                raise OSError(5, "the disk")
+
+            with monkeypatch.context() as patch:
+                patch.setattr(os, "fdatasync", fails)
+                patch.setattr(os, "fsync", fails)
+                for _ in range(3):
+                    now[0] += RECOVER_EVERY
+                    assert (await calls.call("PUT", "/v1/instances/b", GOOD, absent=True))[0] == 503
+            now[0] += RECOVER_EVERY
+            await calls.register("c")
+        async with served(tmp_path) as (program, calls):
+            assert set(ids(await calls.list())) == {"a", "c"}
+
+    run(test)
+
+
 # leases
 
 
