Keep the start of a backend that leaves the list and comes back as the same process

With starts of new entries taken for now (the mend of stepped clocks), a backend that discovery left out while it was silent and listed again counted as cold for all of its slow start, though its start was the same. The last starts of 16,384 backends that left are kept. Seen by reading; the new test fails without it.

The soak's clients: one that met a closed connection raised an error that nobody saw; such a failure counts as broken now.

--- a/embersill/control.py
+++ b/embersill/control.py
@@ -57,6 +57,7 @@
 START_TOLD_WITHIN = 2.0  # seconds after a start, and since the list was last heard of, in which it is told:
 # else the clock here is off, or the list late
 FOLLOWED_AFTER = 5.0  # seconds after the first list from which all that is new in it has just begun
+MOST_LEFT = 16_384  # backends that left the list whose last starts are kept, the latest ones
 SURE_PLACES = 2  # gateways that may call a cold backend once in its window whatever is known: chance's own
 START_LIMIT = 8.0  # attempts out at a backend, all gateways together, before anything is learned of it
 LEAST_LIMIT = 4.0  # the same once it is under pressure: less would leave the cores of a backend idle
@@ -218,6 +219,8 @@
         self.weigh_at = now
         self.first_listed_at: float | None = None  # when the list was first heard of, and last
         self.last_listed_at = now
+        self.left_starts: dict[str, tuple[float | None, float | None]] = {}  # of those that left the list:
+        # their last starts, as listed and as they were taken here
         self.known: set[str] = set()  # ids of all backends that were ever listed
         self.banned: set[str] = set()  # ids that staff took out, whatever the list says of them
         self.greet: dict[str, float] = {}  # restored, not answered yet: when it gets its next
@@ -1061,7 +1064,7 @@
         if event.kind is not ListKind.CHANGES:
             named = {b.address for b in event.backends}
             for address in [a for a in self.servers if a not in named]:
-                self.serving.discard(self.servers.pop(address))
+                self.remove(address)
         for backend in event.backends:
             self.take_entry(backend)
         if event.kind is not ListKind.REMEMBERED:
@@ -1077,17 +1080,27 @@
         self.known.add(address)
         if server is not None and server.backend == backend:
             return
+        if backend.status is Status.GONE:
+            return self.remove(address)
         if server is not None:
             self.serving.discard(server)
-        if backend.status is Status.GONE:
-            self.servers.pop(address, None)
-            return
         if server is None or server.backend.started != backend.started:
             if server is None and self.settings.pool.warm:
                 self.actions.append(SetTimer(max(WARM_OVER * self.random.random(), EPS), "w" + address))
             server = self.servers[address] = self.unknown(backend)
         server.backend = backend
         self.let_serve(server)
+        return None
+
+    def remove(self, address: str) -> None:
+        """The list names it no more; it may come back, with the same process or another."""
+        server = self.servers.pop(address, None)
+        if server is None:
+            return
+        self.serving.discard(server)
+        self.left_starts[address] = server.backend.started, server.started
+        if len(self.left_starts) > MOST_LEFT:
+            del self.left_starts[next(iter(self.left_starts))]
 
     def let_serve(self, server: Server) -> None:
         """Has a server drawn from now on, unless it is not to be."""
@@ -1100,7 +1113,9 @@
         """A backend of which nothing is learned yet."""
         place = place_at(backend.address, self.settings)
         made = Server(backend, self.start_limit(), self.now, place)
-        made.started = self.credible_start(backend.started)
+        listed, believed = self.left_starts.pop(backend.address, (None, None))
+        same = backend.started is not None and backend.started == listed
+        made.started = believed if same else self.credible_start(backend.started)
         return made
 
     def start_limit(self) -> float:
--- a/embersill/lab/soak/clients.py
+++ b/embersill/lab/soak/clients.py
@@ -58,10 +58,16 @@
         self.bad: list[BadClient] = []
         self.tasks: set[asyncio.Task[None]] = set()
         self.numbers = 0
+        self.failures: list[str] = []  # of clients, by a fault of this program
 
     def spawn(self, work: asyncio.Task[None]) -> None:
         self.tasks.add(work)
-        work.add_done_callback(self.tasks.discard)
+        work.add_done_callback(self.ended)
+
+    def ended(self, task: asyncio.Task[None]) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.failures.append(repr(task.exception()))
 
     async def run(self, rate: float, until: float) -> None:
         """Requests at random moments, up to a moment of the monotonic clock."""
@@ -118,8 +124,7 @@
         try:
             connection = await self.connect()
         except OSError:
-            del self.requests[made.call_id]
-            return
+            return  # its gateway has ended; an attempt that it made before may still come
         await self.exchange(made, text, connection, leaves_after, False)
 
     async def exchange(
@@ -127,6 +132,8 @@
     ) -> bool:
         """Writes a request and reads its answer; False where a kept connection was closed under it unread."""
         reader, writer = connection
+        if writer.transport.is_closing():
+            return not kept
         made.written_at = time.monotonic()
         writer.write(text)
         self.waiting[made] = writer
--- a/embersill/lab/soak/play.py
+++ b/embersill/lab/soak/play.py
@@ -427,7 +427,12 @@
             groups,
         )
         unknown = [Violation("duplicate", call_id, "no client sent it") for call_id in self.backends.unknown]
-        self.result.violations = [*self.violations, *unknown, *check_all(seen)]
+        failures = [
+            Violation("soak", "", f"a client failed: {what}")
+            for clients in self.clients
+            for what in clients.failures
+        ]
+        self.result.violations = [*self.violations, *failures, *unknown, *check_all(seen)]
         self.result.requests = len(requests)
         self.result.served = sum(r.status == 200 and r.whole for r in requests)
 
--- a/tests/test_incident_clock.py
+++ b/tests/test_incident_clock.py
@@ -108,3 +108,19 @@
     assert shares["warm"] == 1.0
     assert shares["cold"] == pytest.approx((1.0 + SETTINGS.cold_from) / 2)
     assert made.servers["warm"].full == {} and made.servers["warm"].links == inf
+
+
+def test_a_backend_that_was_off_the_list_for_a_while_is_the_same_process_if_its_start_is() -> None:
+    """Discovery leaves out what falls silent, and lists it again: no new start, and no slow start."""
+    made = gateway(now=1000.0, listed=backends(backend("a"), backend("b", 1, started=500.0)))
+    made.handle(BackendList(ListKind.CHANGES, ()), 1010.0)
+    made.handle(backends(backend("b", 1, Status.GONE, 500.0), kind=ListKind.CHANGES), 1011.0)
+    assert "b" not in made.servers
+    made.handle(backends(backend("b", 1, started=500.0), kind=ListKind.CHANGES), 1019.0)
+    assert made.servers["b"].cold_share(1019.0, made.settings) == 1.0
+    made.handle(backends(backend("a"), kind=ListKind.WHOLE), 1020.0)
+    made.handle(backends(backend("a"), backend("b", 1, started=500.0), kind=ListKind.WHOLE), 1021.0)
+    assert made.servers["b"].cold_share(1021.0, made.settings) == 1.0
+    made.handle(backends(backend("b", 1, Status.GONE, 500.0), kind=ListKind.CHANGES), 1022.0)
+    made.handle(backends(backend("b", 1, started=1023.0), kind=ListKind.CHANGES), 1023.5)
+    assert made.servers["b"].cold_share(1023.5, made.settings) < 1.0
