--- a/embersill/lab/peers.py
+++ b/embersill/lab/peers.py
@@ -90,7 +90,8 @@
     return f"${len(text)}\r\n{text}\r\n".encode()
 
 
-PORTS = itertools.count(20000 + os.getpid() * 16 % 12000)
+# of each process its own, as gateways share a port with others that listen on it
+PORTS = itertools.count(20000 + os.getpid() * 256 % 12000)
 
 
 def free_port() -> int:
