--- a/embersill/serving_set.py
+++ b/embersill/serving_set.py
@@ -50,6 +50,7 @@
     kind: str
     rating: float
     groups: list[IndexedList]
+    number: int  # in the order in which they were put in
 
 
 class ServingSet:
@@ -61,6 +62,7 @@
         self.by_zone, self.by_cell = Scope.ZONE in scopes, Scope.CELL in scopes
         self.all = IndexedList()
         self.filed: dict[Server, Filed] = {}
+        self.added = 0  # servers so far
         self.zones: defaultdict[str, IndexedList] = defaultdict(IndexedList)
         self.cells: defaultdict[int, IndexedList] = defaultdict(IndexedList)
         self.ranks: defaultdict[int, IndexedList] = defaultdict(IndexedList)  # by this gateway's place there
@@ -89,7 +91,8 @@
         ratings = self.kinds[backend.kind]
         ratings.total += rating
         ratings.machines += 1
-        self.filed[server] = Filed(backend.kind, rating, lists)
+        self.added += 1
+        self.filed[server] = Filed(backend.kind, rating, lists, self.added)
         if is_cold:
             self.cold[server] = None
         self.changed = True
@@ -121,7 +124,9 @@
         if width >= gateways:
             return list(self.all.items)
         lists = (self.ranks.get(rank) for rank in range(width))
-        return [server for each in lists if each is not None for server in each.items]
+        found = [server for each in lists if each is not None for server in each.items]
+        found.sort(key=lambda server: self.filed[server].number)  # the same draws whatever the ranks
+        return found
 
     def sizes(self) -> dict[str, float]:
         """The mean rating of each kind against that of all: a single backend's may be rough."""
