Ask for readiness, and write the list's files anew, in one place each

Read again: the soak's gateway process and the scale run's asked /ready with the same lines, and three files of the laboratory held the same request; is_ready and READY stand in lab/peers.py now. The check for a trace before trace_list stood twice, and lines_of of the soak's gateway process was called by nobody.

--- a/embersill/directory/logfile.py
+++ b/embersill/directory/logfile.py
@@ -210,10 +210,9 @@
         synced whole do not rest on it.
         """
         try:
-            self.replace("snapshot", line_of({"form": FORM, "seq": self.seq, "list": content}))
-            self.begin_log()
-        except OSError as error:
-            raise NotWritten(f"{self.broken}; and new files: {error.strerror}") from error
+            self.compact(content)
+        except NotWritten as error:
+            raise NotWritten(f"{self.broken}; and new files: {error}") from error
         log.warning("the log is written anew, as this had failed: %s", self.broken)
         self.broken = ""
 
--- a/embersill/lab/peers.py
+++ b/embersill/lab/peers.py
@@ -9,6 +9,7 @@
 import struct
 
 HOST = "127.0.0.1"
+READY = b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"
 Asked = tuple[str, dict[str, str], bytes]  # a message: first line, headers in lower case, body
 
 
@@ -70,6 +71,22 @@
     return first, headers, body
 
 
+async def is_ready(port: int) -> bool:
+    """Whether the gateway at this port of loopback says that it is ready."""
+    try:
+        reader, writer = await asyncio.open_connection(HOST, port)
+    except OSError:
+        return False
+    try:
+        writer.write(READY)
+        first, _, _ = await read_message(reader)
+        return first.split()[1] == "200"
+    except (OSError, asyncio.IncompleteReadError):
+        return False
+    finally:
+        writer.close()
+
+
 def message(status: int, body: bytes = b"", *headers: str) -> bytes:
     lines = [f"HTTP/1.1 {status} X", *headers, f"Content-Length: {len(body)}", "", ""]
     return "\r\n".join(lines).encode() + body
--- a/embersill/lab/real.py
+++ b/embersill/lab/real.py
@@ -28,7 +28,7 @@
 from embersill.lab.node import Call, Figures
 from embersill.lab.network import Way
 from embersill.lab.peers import (
-    HOST, Asked, Peer, free_port, message, read_call, read_message, reset, total_text,
+    HOST, READY, Asked, Peer, free_port, message, read_call, read_message, reset, total_text,
 )
 from embersill.lab.rules import SLACK
 from embersill.lab.scenario import LONGEST, Fault, Scenario, check_real
@@ -48,7 +48,6 @@
     "two lengths": b"POST /api HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
     "a head without end": b"GET /api HTTP/1.1\r\n" + b"X-Filler: " + b"x" * 100_000,
 }
-READY = b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"
 STATES = {Status.SERVING: "SERVING", Status.DRAINING: "DRAINING", Status.GONE: "DELETED"}
 
 
--- a/embersill/lab/scale/real_gateways.py
+++ b/embersill/lab/scale/real_gateways.py
@@ -8,7 +8,7 @@
 import os
 import pathlib
 
-from embersill.lab.peers import HOST, free_port, read_message
+from embersill.lab.peers import HOST, free_port, is_ready
 from embersill.lab.scale.children import Child, Children, ChildNotStarted
 from embersill.lab.scale.deployment import Deployment
 from embersill.lab.scale.messages import RealGatewayPorts
@@ -16,7 +16,6 @@
 
 READY_POLL_SECONDS = 0.05
 MEMORY_MB, SOCKETS = 192, 1024  # as on the platform
-READY = b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"
 RUN_VARIABLE = "EMBERSILL_RUN"  # environment: a command in place of the deploy file's run
 
 
@@ -65,18 +64,3 @@
     except TimeoutError:
         raise ChildNotStarted(
             f"{child.name} did not get ready within {within:.0f} s{child.last_words()}") from None
-
-
-async def is_ready(port: int) -> bool:
-    try:
-        reader, writer = await asyncio.open_connection(HOST, port)
-    except OSError:
-        return False
-    try:
-        writer.write(READY)
-        first, _, _ = await read_message(reader)
-        return first.split()[1] == "200"
-    except (OSError, asyncio.IncompleteReadError):
-        return False
-    finally:
-        writer.close()
--- a/embersill/lab/soak/gateway_process.py
+++ b/embersill/lab/soak/gateway_process.py
@@ -10,11 +10,10 @@
 from collections.abc import Mapping
 from typing import Any
 
-from embersill.lab.peers import HOST, free_port, read_message
+from embersill.lab.peers import HOST, free_port, is_ready
 from embersill.lab.versions import HERE, deployed
 
 READY_WITHIN = 20.0  # seconds
-READY = b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"
 
 
 class NotReady(Exception):
@@ -54,7 +53,7 @@
             )
         try:
             async with asyncio.timeout(READY_WITHIN):
-                while not await self.is_ready():
+                while not await is_ready(self.port):
                     if self.child.returncode is not None or self.ended:
                         break
                     await asyncio.sleep(0.02)
@@ -69,29 +68,10 @@
         new.write_text(json.dumps(self.configuration))
         new.replace(self.folder / "config.json")
 
-    async def is_ready(self) -> bool:
-        try:
-            reader, writer = await asyncio.open_connection(HOST, self.port)
-        except OSError:
-            return False
-        try:
-            writer.write(READY)
-            first, _, _ = await read_message(reader)
-            return first.split()[1] == "200"
-        except (OSError, asyncio.IncompleteReadError):
-            return False
-        finally:
-            writer.close()
-
     def last_line(self) -> str:
         lines = self.log.read_text(errors="replace").splitlines() if self.log.exists() else []
         return lines[-1] if lines else "its log is empty"
 
-    def lines_of(self, call_id: str) -> list[str]:
-        """What its log tells of a request."""
-        text = self.log.read_text(errors="replace") if self.log.exists() else ""
-        return [line for line in text.splitlines() if call_id in line]
-
     @property
     def running(self) -> bool:
         return self.child is not None and self.child.returncode is None
--- a/embersill/net/driver.py
+++ b/embersill/net/driver.py
@@ -191,8 +191,7 @@
             self.serving.clear()
         self.serving.difference_update(named)
         self.serving.update(serving)
-        if self.trace is not None:
-            self.trace_list(listing)
+        self.trace_list(listing)
         self.list_told_at = self.clock()
         self.post(BackendList(listing.kind, tuple(entry.backend for entry in named.values())))
         for address in named:
