Test three more malformed entries of a long list

A string that is not UTF-8, an unknown escape and a number out of range: each refuses the list whole, as before. Written to see whether msgspec's error for a single entry could get past the reader; it does not. 19 tests of the file pass.

--- a/tests/test_list_feed.py
+++ b/tests/test_list_feed.py
@@ -51,6 +51,9 @@
     "wrong",
     [
         lambda body: body[:-1],
+        lambda body: body.replace(b'"weight": 1.0', b'"weight": 1e999', 1),
+        lambda body: body.replace(b'"zone": "z"', b'"zone": "\xff"', 1),
+        lambda body: body.replace(b'"zone": "z"', b'"zone": "\\q"', 1),
         lambda body: body.replace(b'"weight": 1.0', b'"weight": NaN', 1),
         lambda body: body.replace(b'"cell": 0', b'"cell": "x"', 1),
         lambda body: body.replace(b"generation", b"g", 1),
