Add review case 2: bodies in small pieces take a gateway over its memory limit

Need: an independent review shows each fault with a test that fails. Change: 64 clients at once send sound signatures of 60 kB in chunks of two bytes; a stand-in for the platform watches the memory.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""An upgrade during an outage of discovery: does the gateway go on to keep a drain that it was told before?"""
+"""Many signatures at once, written in small pieces: does the gateway stay below its memory limit?"""
 
 from __future__ import annotations
 
@@ -9,77 +9,92 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "lib"))
 
-from bed import Answer, Bed, CannotRun, play  # noqa: E402
-from settings import COMMUNITY, VIEW  # noqa: E402
+from bed import HOST, Answer, Bed, CannotRun, play, read_message  # noqa: E402
+from settings import CAMPAIGN, SIGN  # noqa: E402
 
-GRACE = 1.0 + 0.05  # seconds after it was told, and the sockets' 50 ms
-NEWS_AFTER_YES = 2.0  # seconds after the yes of an upgrade at which news from discovery counts as told
-OUTAGE = 8.0  # seconds
-KILL_AFTER = 3.7  # seconds from SIGTERM to SIGKILL: the longest deadline, counted as 3 s, and 0.7 s
-INTERVAL = 0.04  # seconds between requests to the gateway
+BUDGET = 10.0  # seconds: a client gives up a try of this class after 5 to 10
+MEMORY_MB, SOCKETS = 80, 384  # limits of a gateway, those of the days in the page of reports
+AT_ONCE = 64  # connections, all to the gateway n0; a third of its descriptors would be 128
+SIZE = 60_000  # bytes of each body
+RATE = 64_000  # bytes of body a second
+PIECE = 2  # bytes in a chunk of the body; without the disruption 4,000
+WATCH = 0.02  # seconds between looks at a gateway's memory
+AFTER = 2.0  # seconds for which the clients keep their connections, idle, after the last answer
+
+
+async def sign(bed: Bed, number: int, all_done: asyncio.Event) -> Answer:
+    """Sends a signature in chunks of PIECE bytes, and keeps the connection until all have their answers."""
+    answer, piece = bed.new_answer(0, BUDGET), PIECE if bed.trouble else 4000
+    reader, writer = await asyncio.open_connection(HOST, bed.ports[0])
+    head = bed.head(answer.call, SIGN, CAMPAIGN, 1001 + number, BUDGET, 0)
+    writer.write(head.replace(b"Content-Length: 0", b"Transfer-Encoding: chunked"))
+    answer.begun, sent = bed.record.now(), 0
+    batch = (b"%x\r\n%b\r\n" % (piece, b"x" * piece)) * (4000 // piece)
+    try:
+        while sent < SIZE:
+            writer.write(batch)
+            await writer.drain()
+            sent += 4000
+            await asyncio.sleep(max(answer.begun + sent / RATE - bed.record.now(), 0.0))
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        answer.written = bed.record.now()
+        async with asyncio.timeout(BUDGET + 1.0):
+            first, _, answer.body = await read_message(reader)
+        answer.status, answer.end = int(first.split()[1]), "answered"
+    except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
+        answer.end = type(error).__name__
+    answer.ended = bed.record.now()
+    await all_done.wait()
+    writer.transport.abort()
+    return answer
 
 
 async def scene(bed: Bed) -> bool:
-    tasks: list[asyncio.Task[Answer]] = []
-    drained, told_at = bed.backend_names[0], 0.0
-    discovery = bed.discoveries[0]
+    process = bed.current[0]
+    before = bed.anonymous_mb(process)
+    peak, killed = before, False
+    all_done = asyncio.Event()
 
-    async def traffic() -> None:
-        number = 0
-        while True:
-            number += 1
-            tasks.append(asyncio.create_task(bed.ask(0, VIEW, COMMUNITY, 1 + number % 150, 4.0)))
-            await asyncio.sleep(INTERVAL)
+    async def platform() -> None:
+        """Kills the gateway once it is over its limit, as the platform does."""
+        nonlocal peak, killed
+        while not killed:
+            memory = bed.anonymous_mb(process)
+            peak = max(peak, memory)
+            if memory > MEMORY_MB:
+                bed.record.note(f"n0 has {memory:.1f} MB of anonymous memory, over its limit of {MEMORY_MB} MB: "
+                                "the platform kills it")
+                process.send_signal(signal.SIGKILL)
+                killed = True
+            await asyncio.sleep(WATCH)
 
-    sending = asyncio.create_task(traffic())
-    await asyncio.sleep(2.0)
-    await discovery.set_state(drained, "DRAINING")
-    told_at = bed.record.now()
-    await asyncio.sleep(GRACE + 1.0)
-    down_at = bed.record.now()
-    if bed.trouble:
-        discovery.down = True
-        bed.record.note("discovery goes down")
-    await asyncio.sleep(0.5)
-    old = bed.current[0]
-    await bed.start_gateway(0)
-    yes_at = bed.record.now()
-    old.send_signal(signal.SIGTERM)
-    bed.record.note(f"SIGTERM to the old process {old.pid}")
-    await asyncio.sleep(KILL_AFTER)
-    if old.poll() is None:
-        old.kill()
-        bed.record.note(f"SIGKILL to the old process {old.pid}")
-    await asyncio.sleep(max(down_at + OUTAGE - bed.record.now(), 0.0))
-    discovery.down = False
-    if bed.trouble:
-        bed.record.note("discovery is back")
-    up_at = bed.record.now()
-    sending.cancel()
+    watching = asyncio.create_task(platform())
+    begin = bed.record.now()
+    bed.record.note(f"n0 has {before:.1f} MB; {AT_ONCE} signatures begin there, bodies of {SIZE} bytes at {RATE} "
+                    f"bytes a second, in chunks of {PIECE if bed.trouble else 4000} bytes")
+    tasks = [asyncio.create_task(sign(bed, n, all_done)) for n in range(AT_ONCE)]
+    while bed.record.now() < begin + 40.0 and not killed:
+        await asyncio.sleep(0.05)
+        if all(a.ended is not None for a in bed.answers) and len(bed.answers) == AT_ONCE:
+            break
+    await asyncio.sleep(AFTER)
+    all_done.set()
     answers = await asyncio.gather(*tasks)
-    by_call = {a.call: a for a in answers}
-    late = kept = 0
-    for line in bed.backend_log():
-        if line["event"] != "request" or line["backend"] != drained or line["begun"] < told_at:
-            continue
-        after = line["begun"] - told_at
-        excused = line["begun"] < told_at + GRACE or yes_at <= line["begun"] < yes_at + NEWS_AFTER_YES + GRACE
-        late += not excused
-        kept += line["begun"] < yes_at
-        answer = by_call[line["id"]]
-        bed.record.note(
-            f"{drained} got {line['id'][-6:]}, which came to n0 at {answer.begun:.3f}: {after:.3f} s after n0 "
-            f"was told of its drain, {line['begun'] - yes_at:+.3f} s from the yes: "
-            f"{'excused' if excused else 'BROKEN'}", line["begun"])
-    if len(answers) < 100 or sum(a.status == 200 for a in answers) < len(answers) / 2:
-        raise CannotRun("the gateway served too little")
-    text = (f"{len(answers)} requests, {sum(a.status == 200 for a in answers)} served; the old process sent "
-            f"{kept} to {drained} after it was told; sent to it beyond every grace: {late}; "
-            f"outage {down_at:.3f} to {up_at:.3f}")
+    watching.cancel()
+    for a in sorted(answers, key=lambda a: a.begun):
+        written = "never" if a.written is None else f"{a.written:.3f}"
+        bed.record.note(f"{a.call[-6:]}: last byte {written}, {a.end} {a.status} at {a.ended:.3f}", a.begun)
+    served, ended = sum(a.status == 200 for a in answers), sum(a.status is not None for a in answers)
+    if not bed.trouble and ended < AT_ONCE:
+        raise CannotRun(f"only {ended} answered")
+    text = (f"anonymous memory of n0 {before:.1f} MB before, at most {peak:.1f} MB, limit {MEMORY_MB} MB; "
+            f"of {len(answers)} {ended} answered, {served} served; {'killed for memory' if killed else 'not killed'}")
     bed.record.note(text)
     print(text)
-    return not late
+    return not killed
 
 
 if __name__ == "__main__":
-    sys.exit(play(__file__, lambda case: Bed(case, gateways=1, backends=5, work=0.1), scene))
+    sys.exit(play(__file__, lambda case: Bed(
+        case, gateways=3, backends=10, work=0.3, memory_mb=MEMORY_MB, sockets=SOCKETS), scene))
--- a/review/lib/backend.py
+++ b/review/lib/backend.py
@@ -15,7 +15,10 @@
 NAME, PORT, LOG, WORK = sys.argv[1], int(sys.argv[2]), sys.argv[3], float(sys.argv[4])
 OPTIONS = dict(option.split("=") for option in sys.argv[5:])
 MAX_LINE = 256 * 1024
+LAST_CHUNK = b"\r\n0\r\n\r\n"
+TIMER_STEP = 0.002  # seconds
 connections = itertools.count(1)
+answers = itertools.count(1)  # numbers those that may come twice
 log = open(LOG, "a", buffering=1)
 
 
@@ -33,15 +36,38 @@
                 raise asyncio.IncompleteReadError(b"", left)
             left -= len(data)
         return size
-    size = 0
-    while chunk := int((await reader.readuntil(b"\r\n")).split(b";")[0], 16):
-        await reader.readexactly(chunk + 2)
-        size += chunk
-    while await reader.readuntil(b"\r\n") != b"\r\n":
-        pass
+    # Cheap however small the chunks are. The clients' bodies have no line ends, so only the last chunk looks
+    # like this; `size` counts the framing too.
+    size, tail = 0, b""
+    while not tail.endswith(LAST_CHUNK):
+        data = await reader.read(MAX_LINE)
+        if not data:
+            raise asyncio.IncompleteReadError(b"", None)
+        size, tail = size + len(data), (tail + data)[-len(LAST_CHUNK):]
     return size
 
 
+async def give_long_answer(writer: asyncio.StreamWriter, text: bytes, size: int, rate: int) -> None:
+    """Writes an answer of `size` bytes, evenly, at `rate` bytes a second."""
+    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size)
+    begun, given = time.monotonic(), 0
+    while given < size:
+        piece = min(rate // 50, size - given)
+        writer.write((text * (piece // len(text) + 1))[:piece])
+        await writer.drain()
+        given += piece
+        await asyncio.sleep(max(begun + given / rate - time.monotonic(), 0.0))
+
+
+def write_again(writer: asyncio.StreamWriter, answer: bytes, call: str, written: float, delay: float) -> None:
+    """Writes an answer for the second time, `delay` seconds after the first."""
+    while time.monotonic() < written + delay:  # the loop's timers are exact to TIMER_STEP only
+        pass
+    if not writer.transport.is_closing():
+        writer.write(answer)
+        note(event="second answer", id=call, gap_ms=1000.0 * (time.monotonic() - written))
+
+
 async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
     number = next(connections)
     try:
@@ -55,13 +81,19 @@
             note(event="request", id=call, connection=number, begun=begun, budget=headers.get("x-budget"),
                  key=headers.get("idempotency-key"), body=size)
             await asyncio.sleep(WORK)
-            body = f"served {call}".encode()
+            body = f"served {call} ".encode()
+            if "answer_bytes" in OPTIONS:
+                await give_long_answer(writer, body, int(OPTIONS["answer_bytes"]), int(OPTIONS["rate"]))
+                note(event="answer", id=call, connection=number)
+                continue
             answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
             writer.write(answer)
+            written = time.monotonic()
             note(event="answer", id=call, connection=number)
-            if "second_answer_ms" in OPTIONS:
+            if "second_answer_ms" in OPTIONS and next(answers) % int(OPTIONS["one_in"]) == 0:
                 delay = float(OPTIONS["second_answer_ms"]) / 1000.0
-                asyncio.get_running_loop().call_later(delay, writer.write, answer)
+                asyncio.get_running_loop().call_later(
+                    delay - TIMER_STEP, write_again, writer, answer, call, written, delay)
     except (asyncio.IncompleteReadError, OSError):
         note(event="closed", connection=number)
     finally:
--- a/review/lib/bed.py
+++ b/review/lib/bed.py
@@ -183,6 +183,7 @@
     call: str
     gateway: int
     budget: float
+    customer: int = 0
     begun: float = 0.0  # first byte written
     written: float | None = None  # last byte written: the gateway has taken the request
     ended: float | None = None  # last byte of the answer, or the end of the connection
@@ -194,12 +195,14 @@
 
 class Bed:
     def __init__(self, case: pathlib.Path, gateways: int, backends: int, work: float, cell_size: int = 5,
-                 backend_options: Iterable[str] = ()) -> None:
+                 backend_options: Iterable[str] = (), memory_mb: int = 192, sockets: int = 1024) -> None:
+        """`memory_mb`, `sockets`: limits that the gateways are told; the pages allow these at most."""
         self.record = Record(case / "record.txt")
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.processes: list[subprocess.Popen[bytes]] = []
         self.gateway_count, self.backend_names = gateways, [f"s-{n:08x}" for n in range(1, backends + 1)]
+        self.memory_mb, self.sockets = memory_mb, sockets
         self.work, self.cell_size, self.backend_options = work, cell_size, list(backend_options)
         self.backends: dict[str, subprocess.Popen[bytes]] = {}
         self.ports = [free_port() for _ in range(gateways)]
@@ -253,7 +256,7 @@
             config.write_text(json.dumps({
                 "name": f"n{number}", "listen": f"{HOST}:{self.ports[number]}",
                 "discovery": f"{HOST}:{discovery.port}", "counter": f"{HOST}:{self.counter.port}",
-                "seed": f"{number + 1:016x}", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+                "seed": f"{number + 1:016x}", "limits": {"cores": 1.0, "memory_mb": self.memory_mb, "sockets": self.sockets},
                 "known": discovery.full(), "settings": settings(number, self.gateway_count)}))
         console = self.consoles[number] = free_port()
         env = {k: v for k, v in os.environ.items() if not k.startswith(("RELAY_", "EMBERSILL_"))}
@@ -284,6 +287,15 @@
         except (OSError, TimeoutError):
             return ""
 
+    def anonymous_mb(self, process: subprocess.Popen[bytes]) -> float:
+        """Anonymous memory of a process in MiB, without its files and libraries; 0 if it has ended."""
+        try:
+            status = pathlib.Path(f"/proc/{process.pid}/status").read_text()
+        except OSError:
+            return 0.0
+        found = re.search(r"RssAnon:\s*(\d+) kB", status)
+        return int(found[1]) / 1024.0 if found else 0.0
+
     def stop(self) -> None:
         for process in self.processes:
             if process.poll() is None:
@@ -325,6 +337,7 @@
                   body_size: int | None = None, patience: float = 1.0) -> Answer:
         """Sends one request on a connection of its own and waits for its end, `patience` beyond its time."""
         answer = self.new_answer(gateway, budget)
+        answer.customer = customer
         loop = asyncio.get_running_loop()
         sock = socket.socket()
         sock.setblocking(False)
