--- a/review/lib/bed.py
+++ b/review/lib/bed.py
@@ -7,9 +7,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
 import pathlib
+import random
 import re
 import shutil
 import signal
@@ -31,6 +33,7 @@
 RUN = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
 LONGEST = 110.0  # seconds after which a run is given up
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+PORTS = random.Random()
 
 
 class CannotRun(Exception):
@@ -38,9 +41,13 @@
 
 
 def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return int(probe.getsockname()[1])
+    """A free port below those that the kernel gives to connections, which could take it before its listener."""
+    for _ in range(1000):
+        port = PORTS.randrange(20_000, 32_000)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((HOST, port))
+            return port
+    raise CannotRun("no free port")
 
 
 class Record:
