Correct case 1: its second answers come 5 ms late on sockets with the system's defaults

Need: the case took it that a backend's second answer arrives as it is written; without TCP_NODELAY the kernel held it back, so the cause was told wrongly.

--- a/review/lib/backend.py
+++ b/review/lib/backend.py
@@ -70,6 +70,8 @@
 
 async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
     number = next(connections)
+    if "plain_sockets" not in OPTIONS:  # asyncio sets this only on sockets that name their protocol
+        writer.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     try:
         while True:
             head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
