--- a/review/lib/bed.py
+++ b/review/lib/bed.py
@@ -34,6 +34,7 @@
 LONGEST = 110.0  # seconds after which a run is given up
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 PORTS = random.Random()
+given_ports: set[int] = set()
 
 
 class CannotRun(Exception):
@@ -41,11 +42,15 @@
 
 
 def free_port() -> int:
-    """A free port below those that the kernel gives to connections, which could take it before its listener."""
+    """A free port that was not given before, below those that the kernel gives to connections: these could take
+    it before its listener is there."""
     for _ in range(1000):
         port = PORTS.randrange(20_000, 32_000)
+        if port in given_ports:
+            continue
         with socket.socket() as probe, contextlib.suppress(OSError):
             probe.bind((HOST, port))
+            given_ports.add(port)
             return port
     raise CannotRun("no free port")
 
@@ -274,7 +279,8 @@
         self.record.note(f"gateway n{number} started, process {process.pid}")
         for _ in range(600):
             if process.poll() is not None:
-                raise CannotRun(f"gateway n{number} ended with {process.returncode}")
+                last = (self.folder / f"gateway{number}.log").read_text(errors="replace").strip().splitlines()[-1:]
+                raise CannotRun(f"gateway n{number} ended with {process.returncode}: {' '.join(last)}")
             if (await self.console(number, "STATUS")).startswith("done"):
                 break
             await asyncio.sleep(0.02)
