Hold what arrives in small pieces in as much memory as it has bytes

Cause: ClientConnection.on_body kept each piece of the parser as an object in a list. tracemalloc, 8 such bodies: 29,997 objects of 1,049,895 bytes and a list of 246,432 bytes for each 60,000 bytes. No limit counts these. The same held for Upload.chunks, for the headers of an unfinished head (4,427 entries, 457 kB for 31 kB of lines that the gateway has no use for), for BackendConnection.parts, for the chunks of a streamed answer and for what lies above the kernel's buffer of a client that doesn't read (one object for each write). Requests sent ahead: up to 455 were parsed from one block of 8 kB.

Change: ByteBuffer joins pieces as they come, the first without a copy. Only headers with a meaning here are kept, and what was received of a request is freed with its end. Of an answer one read is passed on as one piece, and a client's transport has no buffer of its own above the kernel's. The parser stops behind the request that fills the pipeline.

--- a/embersill/net/backends.py
+++ b/embersill/net/backends.py
@@ -17,7 +17,7 @@
 import httptools
 
 from embersill.interface import Outcome, PoolSettings
-from embersill.net.bodies import READ_SIZE, STREAMING_THRESHOLD, Sink, Upload, is_readable
+from embersill.net.bodies import READ_SIZE, STREAMING_THRESHOLD, ByteBuffer, Sink, Upload, is_readable
 from embersill.net.framing import AnswerFeeder, BadFraming, FramingFields
 from embersill.net.pool import Address, OpenFailure, PooledConnection, Pool, Waiter
 
@@ -139,7 +139,7 @@
 
     def reset_answer(self) -> None:
         """Prepares for the next answer."""
-        self.parts: list[bytes] = []
+        self.body = ByteBuffer()  # what was received of it, without what was passed on to the sink
         self.size, self.units, self.headers, self.status = 0, 0.0, b"", 0
         self.in_head, self.head_size, self.trailer_size = True, 0, 0
         self.feeder.start()
@@ -279,14 +279,13 @@
     def on_body(self, body: bytes) -> None:
         if self.complete or self.invalid_framing:
             return
+        is_first = not self.size
         self.size += len(body)
+        self.body.add(body)
         if self.sink is not None:
-            self.paused = not self.sink.write(body) or self.paused
             return
-        if self.length is None and not self.parts and self.attempt is not None:
-            if self.status == 200:
-                self.dialer.loop.call_later(STREAM_AFTER, self.stream_late_answer, self.attempt)
-        self.parts.append(body)
+        if self.length is None and is_first and self.attempt is not None and self.status == 200:
+            self.dialer.loop.call_later(STREAM_AFTER, self.stream_late_answer, self.attempt)
         if self.size > STREAMING_THRESHOLD or (self.length or 0) > STREAMING_THRESHOLD:
             self.body_unwanted = self.body_unwanted or self.status != 200
             self.start_streaming()
@@ -307,10 +306,14 @@
         if attempt.timer is not None:
             attempt.timer.cancel()
         self.sink, sink.on_writable = sink, self.resume
-        self.paused = not sink.write(b"".join(self.parts))
-        self.parts = []
+        self.pass_on()
         self.pause_if_client_full()
 
+    def pass_on(self) -> None:
+        """Passes what was received of a streamed answer to the client, as one piece."""
+        if self.sink is not None and self.body:
+            self.paused = not self.sink.write(self.body.take()) or self.paused
+
     def pause_if_client_full(self) -> None:
         """Stops reading while the client's buffer is full."""
         if self.paused and self.transport is not None and not self.transport.is_closing():
@@ -346,6 +349,8 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.malformed = True
         self.head_size += len(data) if self.in_head else 0
+        if not attempt.ended:
+            self.pass_on()
         if attempt.ended:
             return
         if self.complete:
@@ -364,7 +369,7 @@
     def finish(self, attempt: Attempt) -> None:
         """Ends the attempt with a complete answer, and keeps the connection where it is reusable."""
         if self.status == 200:
-            result = AttemptResult(Outcome.SERVED, b"".join(self.parts), self.units, self.headers)
+            result = AttemptResult(Outcome.SERVED, self.body.take(), self.units, self.headers)
         else:
             result = AttemptResult(self.failure_outcome())
         self.pool.answer_received(self)
--- a/embersill/net/bodies.py
+++ b/embersill/net/bodies.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import select
-from collections import deque
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
@@ -40,6 +39,35 @@
     return closed + [descriptor for descriptor, events in poller.poll(0) if events & close_events]
 
 
+class ByteBuffer:
+    """Bytes that arrive in pieces and are taken together, in about as much memory as there are bytes.
+
+    A list of the pieces would take some 56 bytes more for each of them. The first piece is not copied.
+    """
+
+    __slots__ = ("data",)
+
+    def __init__(self) -> None:
+        self.data: bytes | bytearray = b""
+
+    def __len__(self) -> int:
+        return len(self.data)
+
+    def add(self, piece: bytes) -> None:
+        """Appends a piece."""
+        if not self.data:
+            self.data = piece
+            return
+        if isinstance(self.data, bytes):
+            self.data = bytearray(self.data)
+        self.data += piece
+
+    def take(self) -> bytes:
+        """Removes and returns all bytes."""
+        data, self.data = self.data, b""
+        return bytes(data)
+
+
 class Sink(Protocol):
     """The destination of a streamed answer.
 
@@ -65,8 +93,7 @@
 
     def __init__(self, length: int | None, max_buffered: int, on_space: Callable[[], None]) -> None:
         self.length, self.max_buffered, self.on_space = length, max_buffered, on_space
-        self.chunks: deque[bytes] = deque()
-        self.buffered = 0  # bytes in `chunks`
+        self.buffer = ByteBuffer()
         # complete: all was received; started: some was passed to the backend; done: all was.
         self.complete = self.started = self.done = False
         self.on_data: Callable[[], None] | None = None  # set by the backend connection that sends it
@@ -74,7 +101,7 @@
     @property
     def full(self) -> bool:
         """True if no more should be read from the client for now."""
-        return self.buffered >= self.max_buffered
+        return len(self.buffer) >= self.max_buffered
 
     @property
     def framing_header(self) -> bytes:
@@ -85,8 +112,7 @@
 
     def feed(self, data: bytes) -> None:
         """Adds data that the client has sent."""
-        self.chunks.append(data)
-        self.buffered += len(data)
+        self.buffer.add(data)
         if self.on_data is not None:
             self.on_data()
 
@@ -97,10 +123,9 @@
             self.on_data()
 
     def next_chunk(self) -> bytes:
-        """Removes and returns the next bytes for the backend; empty if there are none now, or no more."""
-        if self.chunks:
-            chunk = self.chunks.popleft()
-            self.buffered -= len(chunk)
+        """Removes and returns what is buffered for the backend; empty if there is nothing now, or no more."""
+        if self.buffer:
+            chunk = self.buffer.take()
             self.started = True
             text = chunk if self.length is not None else b"%x\r\n%b\r\n" % (len(chunk), chunk)
         elif self.complete and not self.done:
--- a/embersill/net/clients.py
+++ b/embersill/net/clients.py
@@ -20,7 +20,9 @@
 import httptools
 
 from embersill.interface import RepeatPolicy, Settings
-from embersill.net.bodies import MAX_BODY, READ_SIZE, STREAMING_THRESHOLD, Upload, closed_by_peer, is_readable
+from embersill.net.bodies import (
+    MAX_BODY, READ_SIZE, STREAMING_THRESHOLD, ByteBuffer, Upload, closed_by_peer, is_readable,
+)
 from embersill.net.driver import ClientRequest, Driver
 from embersill.net.framing import (
     HEAD_END, BadFraming, Framing, FramingFields, HeadNormalizer, UnknownCoding, blank_line_end,
@@ -30,7 +32,7 @@
 
 MAX_HEAD = 32 * 1024  # bytes of request line and headers: browsers send at most about a quarter of it
 MAX_PIPELINED = 16  # requests in progress on one connection; further ones are not parsed
-PARSE_CHUNK = 8192  # bytes given to the parser at a time: limits the requests parsed beyond MAX_PIPELINED
+PARSE_CHUNK = 8192  # bytes given to the parser at a time, outside bodies whose end is known
 EVICTABLE_AFTER = 0.1  # seconds idle before eviction: the next request may already be in the kernel's buffer
 STALLED_AFTER = 0.5  # seconds without a byte before a partly sent request may be evicted for another client
 # Seconds for a request head, for the first one from the connect on. Clients take up to 2 s; the protocol
@@ -52,6 +54,7 @@
     errno.EOPNOTSUPP, errno.ENETUNREACH, errno.ETIMEDOUT, errno.ECONNRESET, errno.EPERM))
 BACKLOG_DRAIN_TIMEOUT = 0.2  # seconds to accept queued connections at a stop: ample for a full backlog
 MAX_EVICTED = 16  # connections evicted at a time: in a flood, one at a time would not keep up
+LAST_CHUNK = b"0\r\n\r\n"  # ends a chunked body
 HANDOVER_RETRY_INTERVAL = 0.005  # seconds until a hand-over is retried: the last answer is still being sent
 ACCEPT_BATCH = 64  # connections accepted per loop iteration, so that established ones are served in between
 
@@ -65,6 +68,7 @@
 SINGLE_HEADERS = frozenset((
     b"x-call-id", b"x-call-class", b"plan", b"x-budget", b"idempotency-key", b"quota-info", b"x-again",
     b"content-length", b"host", b"transfer-encoding", b"expect"))
+KEPT_HEADERS = SINGLE_HEADERS | {b"content-type"}  # all others have no meaning for the gateway
 REASON_PHRASES = {
     200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout",
     413: b"Content Too Large", 417: b"Expectation Failed", 429: b"Too Many Requests",
@@ -201,15 +205,15 @@
     """
 
     __slots__ = (
-        "streaming", "aborted", "chunked", "connection", "done", "keep_alive", "number", "chunks",
-        "on_writable", "response",
+        "streaming", "aborted", "chunked", "connection", "done", "keep_alive", "number", "on_writable",
+        "response", "unwritten", "unwritten_head",
     )
 
     def __init__(self, connection: ClientConnection, keep_alive: bool) -> None:
         self.connection, self.keep_alive = connection, keep_alive
         self.number = 0  # the driver's number of the request; 0 until the driver accepts it
         self.response: bytes | None = None  # the complete answer, if it is not streamed
-        self.chunks: list[bytes] = []  # of a streamed answer, not yet written to the transport
+        self.unwritten_head, self.unwritten = b"", ByteBuffer()  # of a streamed answer; the body unframed
         self.streaming = self.done = self.aborted = self.chunked = False
         self.on_writable: Callable[[], None] | None = None
 
@@ -222,16 +226,28 @@
             framing = b"Transfer-Encoding: chunked\r\n"
         self.keep_alive = self.keep_alive and not connection.close_after_if_stopping(self) and bool(framing)
         close = b"" if self.keep_alive else b"Connection: close\r\n"
-        self.chunks.append(b"HTTP/1.1 200 OK\r\n%b%b%b\r\n" % (headers, close, framing))
+        self.unwritten_head = b"HTTP/1.1 200 OK\r\n%b%b%b\r\n" % (headers, close, framing)
         return self
 
     def write(self, data: bytes) -> bool:
         """Writes a part of the body, or buffers it behind earlier answers; False if it would buffer more."""
         if data:
-            self.chunks.append(b"%x\r\n%b\r\n" % (len(data), data) if self.chunked else data)
+            self.unwritten.add(data)
         self.connection.flush()
         exchanges = self.connection.exchanges
-        return bool(exchanges) and exchanges[0] is self and not self.connection.write_blocked
+        return bool(exchanges) and exchanges[0] is self and self.has_space()
+
+    def has_space(self) -> bool:
+        """True while more of a streamed answer may be buffered."""
+        return len(self.unwritten) < self.connection.server.buffer_limit
+
+    def take_unwritten(self) -> bytes:
+        """Removes and returns what is to be written next of a streamed answer, in its framing."""
+        head, body = self.unwritten_head, self.unwritten.take()
+        self.unwritten_head = b""
+        if self.chunked:
+            body = (b"%x\r\n%b\r\n" % (len(body), body) if body else b"") + (LAST_CHUNK if self.done else b"")
+        return head + body
 
     def client_has_gone(self) -> bool:
         """True if the client has disconnected; asks the kernel, as the loop may not have reported it yet."""
@@ -242,8 +258,6 @@
 
     def finish(self) -> None:
         """Ends a streamed answer after its last part."""
-        if self.chunked:
-            self.chunks.append(b"0\r\n\r\n")
         self.done = True
         self.connection.flush()
 
@@ -311,22 +325,29 @@
 
     def reset_request(self) -> None:
         """Clears what was parsed of the previous request."""
-        self.target, self.body_size, self.trailers_size = b"", 0, 0
+        self.body_size = self.trailers_size = 0
         self.upload: Upload | None = None  # the body, if it is streamed
         self.upload_exchange: Exchange | None = None
-        self.headers: dict[bytes, bytes] = {}
-        self.framing_fields, self.framing = FramingFields(), Framing()
-        self.body: list[bytes] = []
+        self.framing = Framing()
+        self.release_request()
         self.request_error: BadRequest | None = None
         self.end_unknown = False  # where the request ends, and so where the next one starts
 
+    def release_request(self) -> None:
+        """Frees what was received of a request: a resting connection must not hold it."""
+        self.target = b""
+        self.headers: dict[bytes, bytes] = {}
+        self.framing_fields = FramingFields()
+        self.body = ByteBuffer()
+
     def set_close_reason(self, reason: str) -> None:
         """Records why the connection is closed; the first reason is kept."""
         self.close_reason = self.close_reason or reason
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's lacks the base class only
-        self.transport.set_write_buffer_limits(high=self.server.buffer_limit)
+        # without a buffer above the kernel's, which would hold each piece of an answer as an object
+        self.transport.set_write_buffer_limits(high=0)
         self.server.connections.add(self)
         if self.server.send_to_successor is not None:
             self.server.loop.call_soon(self.try_hand_over)
@@ -348,6 +369,8 @@
         if not self.in_head:
             self.trailers_size += len(name) + len(value)  # trailers of a chunked body are ignored
             return
+        if name not in KEPT_HEADERS:
+            return
         if name in SINGLE_HEADERS and name in self.headers:
             self.request_error = BadRequest(400, f"{name.decode()} stands twice")
         self.headers[name] = value.strip()
@@ -386,9 +409,9 @@
         except BadRequest as error:
             self.request_error = error
             return
-        for chunk in self.body:
-            upload.feed(chunk)
-        self.body, self.has_received_request, self.has_backend_request = [], True, True
+        if self.body:
+            upload.feed(self.body.take())
+        self.has_received_request = self.has_backend_request = True
         self.upload = upload
         self.upload_exchange = Exchange(self, self.parser.should_keep_alive() and self.is_http_1_1)
         self.exchanges.append(self.upload_exchange)
@@ -415,7 +438,7 @@
         elif self.upload is not None:
             self.upload.feed(body)
         elif self.request_error is None:
-            self.body.append(body)
+            self.body.add(body)
             if self.body_size > STREAMING_THRESHOLD:
                 self.start_upload(None)
 
@@ -441,6 +464,7 @@
             self.route(exchange)
         except BadRequest as error:
             self.send_error(exchange, error)
+        self.release_request()
 
     def send_error(self, exchange: Exchange, error: BadRequest) -> None:
         """Answers with the error; the answer to a HEAD request has no body."""
@@ -455,7 +479,7 @@
                 raise BadRequest(405, "only GET and POST", b"Allow: GET, POST\r\n")
             server = self.server
             call = server.request_reader.read(
-                self.arrived_at, method, self.target, self.headers, b"".join(self.body))
+                self.arrived_at, method, self.target, self.headers, self.body.take())
             self.has_backend_request = True
             exchange.number = server.driver.accept_request(call, exchange)
         elif path == b"/ready":
@@ -495,7 +519,7 @@
         """Parses what was received, as far as the limits on requests and body bytes in progress allow."""
         while self.unparsed and not (self.input_ended or self.must_pause_reading()):
             data = self.unparsed
-            if len(data) > PARSE_CHUNK and self.upload is None:
+            if len(data) > PARSE_CHUNK and self.upload is None and not self.body_remaining:
                 data = data[:PARSE_CHUNK]
             self.unparsed = self.unparsed[len(data):]
             self.parse(data)
@@ -506,7 +530,7 @@
         """Parses bytes, and answers a request that is already known to be in error."""
         self.parsing = True  # an answer sent from a callback must not re-enter the parser
         try:
-            self.feed_parser(data)
+            self.unparsed = self.feed_parser(data) + self.unparsed
         except httptools.HttpParserError:
             self.fail_request(400, "not HTTP")
         except httptools.HttpParserUpgrade:
@@ -524,8 +548,10 @@
         elif self.head_size > MAX_HEAD:
             self.fail_request(431, "the head is over 32 KiB")
 
-    def feed_parser(self, data: bytes) -> None:
-        """Feeds the parser each head separately, in the normalized form.
+    def feed_parser(self, data: bytes) -> bytes:
+        """Feeds the parser each head separately, in the normalized form; returns the bytes that have to wait.
+
+        These are all after a request behind which no further one may be in progress.
 
         Only the parser knows where a chunked body ends, but such a body always ends with a blank line. So
         data that may contain the end is split after each blank line.
@@ -545,6 +571,9 @@
                 self.body_remaining = None if self.body_remaining is None else self.body_remaining - len(text)
                 if not self.in_request:
                     self.head_normalizer = HeadNormalizer()
+            if not self.in_request and self.must_pause_reading():
+                return data
+        return b""
 
     def fail_request(self, status: int, text: str) -> None:
         """Answers a request that cannot be read to its end; nothing after it is read."""
@@ -620,8 +649,7 @@
         while self.exchanges:
             exchange = self.exchanges[0]
             if exchange.streaming:
-                self.write_chunks(exchange)
-                if self.transport is None or not exchange.done:
+                if not self.write_streamed(exchange):
                     break
             elif exchange.response is None:
                 break
@@ -639,19 +667,23 @@
         self.update_reading()
         return self.try_hand_over()
 
-    def write_chunks(self, exchange: Exchange) -> None:
-        """Writes what is buffered of a streamed answer; resets the connection if the answer was aborted."""
+    def write_streamed(self, exchange: Exchange) -> bool:
+        """Writes what is buffered of a streamed answer, once the kernel has accepted what was written before.
+
+        Resets the connection if the answer was aborted. Returns True if the answer is written completely.
+        """
         assert self.transport is not None
-        if exchange.chunks:
-            chunks, exchange.chunks = exchange.chunks, []
-            self.transport.write(b"".join(chunks))
+        may_write = not self.write_blocked or exchange.aborted
+        if may_write:
+            self.transport.write(exchange.take_unwritten())
         if exchange.aborted:
             self.set_close_reason("the answer broke off")
             self.exchanges.clear()
             self.input_ended = self.closing = True
             self.reset()
-        elif exchange.on_writable is not None and not (exchange.done or self.write_blocked):
+        elif exchange.on_writable is not None and not exchange.done and exchange.has_space():
             exchange.on_writable()
+        return self.transport is not None and exchange.done and may_write
 
     def reset(self) -> None:
         """Closes with a TCP reset."""
--- a/embersill/net/framing.py
+++ b/embersill/net/framing.py
@@ -11,6 +11,8 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
+from embersill.net.bodies import ByteBuffer
+
 OPTIONAL_WHITE_SPACE = b" \t"  # OWS of RFC 9110, section 5.6.3
 MAX_LENGTH_DIGITS = 18  # of a Content-Length: more could exceed a signed 64-bit integer, as peers use
 CHUNKED = b"chunked"
@@ -68,24 +70,27 @@
 
 
 class FramingFields:
-    """Collects the framing fields of one head from a parser's callbacks."""
+    """Collects the framing fields of one head from a parser's callbacks.
+
+    The lines of a field are kept as one list of values, each with a comma behind it.
+    """
 
     __slots__ = ("codings", "lengths")
 
     def __init__(self) -> None:
-        self.lengths: list[bytes] = []
-        self.codings: list[bytes] = []
+        self.lengths, self.codings = ByteBuffer(), ByteBuffer()
 
     def add(self, name: bytes, value: bytes) -> None:
         """Adds a header field if it concerns framing; `name` is in lower case."""
         if name == b"content-length":
-            self.lengths.append(value)
+            self.lengths.add(value + b",")
         elif name == b"transfer-encoding":
-            self.codings.append(value)
+            self.codings.add(value + b",")
 
     def read(self) -> Framing:
         """The framing of the message; raises BadFraming."""
-        return read_framing(self.lengths, self.codings)
+        lengths, codings = self.lengths.take(), self.codings.take()
+        return read_framing([lengths[:-1]] if lengths else [], [codings[:-1]] if codings else [])
 
 
 class HeadNormalizer:
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -191,7 +191,7 @@
                     await asyncio.sleep(0.001)
             (connection,) = bed.program.front.connections
             assert connection.upload is not None
-            assert connection.upload.buffered <= bed.program.front.buffer_limit + READ_SIZE
+            assert len(connection.upload.buffer) <= bed.program.front.buffer_limit + READ_SIZE
             client_server, clock = bed.program.front, bed.program.front.clock
             client_server.clock = lambda: clock() + 60.0
             client_server.check_connections()
