Count a request's time from its client's last byte, wherever the bytes wait

Cause, from traces of the gateway (body_delayed and body_complete are new): while a backend takes nothing the gateway stops reading, and only its own read of the last byte started the request's time. Until then the deadline was 3,600 s and no timer ran; the stall limit of 10 s ended the attempt. A client's bytes wait in this host's kernel, and in the client's once the window is closed (traced: 29,696 bytes unread, 96,064 of 133,367 bytes of kernel memory used, window 0, 0.9 MB at the client). Also at backends that read slowly, and for requests sent ahead: the kernel tells when the last bytes arrived only, so an earlier request had a later one's time (budget 0.798 s sent where 0.096 s was left).

Change: ArrivalLog counts the unread bytes (FIONREAD) when reading pauses and each 40 ms, so the earliest time at which the last byte may have been written is known before it is read. From that the driver sets deadline, guard and the attempt's timer, and takes them back once all that waited is read while the client still writes.

--- a/embersill/net/backends.py
+++ b/embersill/net/backends.py
@@ -57,20 +57,22 @@
     """One attempt: its backend, its bytes and its state. `on_done` is called exactly once."""
 
     __slots__ = (
-        "backend", "body", "connection", "on_done", "ended", "head", "is_abandoned", "open_stream", "timeout",
-        "pool", "sent_at", "timer", "until", "upload", "was_written", "write_by",
+        "backend", "body", "connection", "deadline", "on_done", "ended", "head", "is_abandoned",
+        "open_stream", "timeout", "pool", "sent_at", "timer", "until", "upload", "was_written", "write_by",
     )
 
     def __init__(
         self, backend: str, head: bytes, body: bytes, sent_at: float, until: float,
         on_done: Callable[[Attempt, AttemptResult], None], open_stream: StreamOpener,
         upload: Upload | None = None,
-        write_by: float = inf, is_abandoned: Callable[[], bool] = lambda: False,
+        write_by: float = inf, is_abandoned: Callable[[], bool] = lambda: False, deadline: float = inf,
     ) -> None:
         """`until`, `write_by`: moments by which it must be answered and completely written, or ends;
 
-        `is_abandoned`: called right before it is written, true where its client has disconnected.
+        `is_abandoned`: called right before it is written, true where its client has disconnected; `deadline`:
+        the moment at which it ends with a streamed body, whose last byte moves `until`.
         """
+        self.deadline = deadline
         self.is_abandoned = is_abandoned
         self.open_stream, self.upload = open_stream, upload
         self.timeout = until - sent_at  # counts from the last byte of a body that is streamed
@@ -182,7 +184,7 @@
             self.dialer.attempts_written += 1
             if upload is not None:
                 attempt.sent_at = self.pool.clock()
-                attempt.until = attempt.sent_at + attempt.timeout
+                attempt.until = min(attempt.sent_at + attempt.timeout, attempt.deadline)
             if upload is not None or attempt.write_by < attempt.until:
                 self.dialer.set_timer(attempt, attempt.until)
 
@@ -441,17 +443,28 @@
 
     def start(self, attempt: Attempt) -> None:
         """Starts an attempt, whose end goes to its `on_done`."""
-        if attempt.upload is None:  # otherwise its time starts with the last byte of the body
+        if attempt.upload is None:
             self.set_timer(attempt, min(attempt.until, attempt.write_by))
+        else:  # its time starts with the last byte of the body
+            self.set_timer(attempt, attempt.deadline)
         attempt.pool = self.pool
         self.pool.start(attempt)
 
+    def limit_upload(self, attempt: Attempt, deadline: float) -> None:
+        """Moves the moment at which an attempt with a streamed body ends at the latest."""
+        attempt.deadline = deadline
+        if attempt.connection is not None and attempt.connection.fully_written:
+            attempt.until = min(attempt.until, deadline)
+            deadline = attempt.until
+        self.set_timer(attempt, deadline)
+
     def set_timer(self, attempt: Attempt, end: float) -> None:
-        """Lets the attempt time out at `end`."""
+        """Lets the attempt time out at `end`; never if that is infinite."""
         if attempt.timer is not None:
             attempt.timer.cancel()
-        remaining = max(end - self.pool.clock(), 0.0)
-        attempt.timer = self.loop.call_later(remaining, attempt.time_out)
+        if end < inf:
+            remaining = max(end - self.pool.clock(), 0.0)
+            attempt.timer = self.loop.call_later(remaining, attempt.time_out)
 
     def open(self, backend: str, address: Address) -> PooledConnection:
         """Creates a connection and starts to connect it."""
--- a/embersill/net/clients.py
+++ b/embersill/net/clients.py
@@ -20,6 +20,7 @@
 import httptools
 
 from embersill.interface import RepeatPolicy, Settings
+from embersill.net.arrivals import CAUGHT_UP_AFTER, ArrivalLog
 from embersill.net.bodies import (
     MAX_BODY, READ_SIZE, STREAMING_THRESHOLD, ByteBuffer, Upload, closed_by_peer, is_readable,
 )
@@ -28,7 +29,7 @@
     HEAD_END, BadFraming, Framing, FramingFields, HeadNormalizer, UnknownCoding, blank_line_end,
 )
 from embersill.net.hold_ups import CHECK_INTERVAL, LoopStalls
-from embersill.net.tcp_info import seconds_since_data
+from embersill.net.tcp_info import seconds_since_data, unread_bytes
 
 MAX_HEAD = 32 * 1024  # bytes of request line and headers: browsers send at most about a quarter of it
 MAX_PIPELINED = 16  # requests in progress on one connection; further ones are not parsed
@@ -39,9 +40,9 @@
 # allows peers 3 s.
 REQUEST_TIMEOUT = 2.5
 MIN_BODY_RATE = 16 * 1024  # bytes/s that extend REQUEST_TIMEOUT: clients send bodies four times as fast
-# Seconds between checks for disconnects on connections that are not being read: no attempt may start 0.1 s or
-# more after its client disconnected.
-DISCONNECT_CHECK_INTERVAL = 0.04
+# Seconds between checks of connections that are not being read, for disconnects and for unread bytes: no
+# attempt may start 0.1 s or more after its client disconnected.
+UNREAD_CHECK_INTERVAL = 0.04
 WRITE_TIMEOUT = 10.0  # seconds that a client may leave its answers unread: longer than any request's budget
 SEND_BUFFER = 128 * 1024  # bytes of the kernel's send buffer: a larger one would hide slow readers
 LINGER = 1.0  # seconds for the peer to read the last answer before its connection is closed
@@ -310,7 +311,10 @@
         self.has_received_request = history.asked
         self.has_backend_request = history.served
         self.handing_over = False  # goes to the successor once its last answer is written
-        self.last_read_at = self.write_blocked_at = self.read_paused_at = 0.0
+        self.last_read_at = self.write_blocked_at = self.read_paused_at = self.read_resumed_at = 0.0
+        self.bytes_read = self.bytes_parsed = 0
+        self.arrivals = ArrivalLog()
+        self.body_written_at: float | None = None  # when a streamed body's last byte may have been written
         self.arrived_at = 0.0  # the earliest time at which the bytes read last may have arrived
         self.is_http_1_1: bool = True
         self.unparsed = b""
@@ -405,14 +409,15 @@
             if self.target.partition(b"?")[0] != b"/api":
                 raise BadRequest(404, "no such path")
             method, server = self.parser.get_method(), self.server
-            call = server.request_reader.read(self.arrived_at, method, self.target, self.headers, b"", upload)
+            call = server.request_reader.read(
+                self.written_at(), method, self.target, self.headers, b"", upload)
         except BadRequest as error:
             self.request_error = error
             return
         if self.body:
             upload.feed(self.body.take())
         self.has_received_request = self.has_backend_request = True
-        self.upload = upload
+        self.upload, self.body_written_at = upload, None
         self.upload_exchange = Exchange(self, self.parser.should_keep_alive() and self.is_http_1_1)
         self.exchanges.append(self.upload_exchange)
         self.upload_exchange.number = server.driver.accept_request(call, self.upload_exchange)
@@ -452,7 +457,7 @@
             self.upload = self.upload_exchange = None
             self.input_ended = not exchange.keep_alive
             upload.end()
-            self.server.driver.on_upload_completed(exchange.number)
+            self.server.driver.on_upload_completed(exchange.number, self.written_at())
             return
         keep_alive = self.parser.should_keep_alive() and self.is_http_1_1 and not self.end_unknown
         exchange = Exchange(self, keep_alive)
@@ -479,7 +484,7 @@
                 raise BadRequest(405, "only GET and POST", b"Allow: GET, POST\r\n")
             server = self.server
             call = server.request_reader.read(
-                self.arrived_at, method, self.target, self.headers, self.body.take())
+                self.written_at(), method, self.target, self.headers, self.body.take())
             self.has_backend_request = True
             exchange.number = server.driver.accept_request(call, exchange)
         elif path == b"/ready":
@@ -502,6 +507,9 @@
             return  # input is still read, since closing with unread data would reset the last answer
         self.last_read_at = self.server.clock()
         self.arrived_at = self.arrival_time()
+        self.bytes_read += len(data)
+        if len(data) < READ_SIZE and self.arrived_at - self.read_resumed_at >= CAUGHT_UP_AFTER:
+            self.arrivals.clear()
         self.unparsed = self.unparsed + data if self.unparsed else data
         self.resume_parsing()
 
@@ -515,6 +523,31 @@
         last_bytes = self.last_read_at - seconds_since_data(self.socket)
         return min(last_bytes, self.server.loop_stalls.earliest_arrival(self.last_read_at))
 
+    def written_at(self) -> float:
+        """The earliest time at which the client may have written the last byte that is parsed."""
+        written_at = self.arrivals.written_at(self.bytes_parsed) if self.arrivals.is_behind else None
+        return self.arrived_at if written_at is None else min(written_at, self.arrived_at)
+
+    def observe_unread(self, now: float) -> None:
+        """Records how many bytes wait to be read, and whether a streamed body may be complete with them."""
+        if self.read_paused:
+            self.arrivals.forget(self.bytes_parsed)
+            self.arrivals.observe(now, self.bytes_read, unread_bytes(self.descriptor()), self.arrived_at)
+        elif now - self.read_resumed_at >= CAUGHT_UP_AFTER and not unread_bytes(self.descriptor()):
+            self.arrivals.clear()
+        self.update_body_written_at()
+
+    def update_body_written_at(self) -> None:
+        """Reports when the last byte of a streamed body that is not read yet may have been written."""
+        if self.upload is None or self.upload_exchange is None:
+            return
+        # the end of a chunked body is not known: its last byte may be the next one
+        remaining = 1 if self.upload.length is None else self.upload.length - self.body_size
+        written_at = self.arrivals.written_at(self.bytes_parsed + remaining)
+        if written_at != self.body_written_at:
+            self.body_written_at = written_at
+            self.server.driver.on_body_delayed(self.upload_exchange.number, written_at)
+
     def resume_parsing(self) -> None:
         """Parses what was received, as far as the limits on requests and body bytes in progress allow."""
         while self.unparsed and not (self.input_ended or self.must_pause_reading()):
@@ -524,6 +557,8 @@
             self.unparsed = self.unparsed[len(data):]
             self.parse(data)
         self.update_reading()
+        if self.body_written_at is not None:
+            self.update_body_written_at()
         self.try_hand_over()
 
     def parse(self, data: bytes) -> None:
@@ -558,7 +593,9 @@
         """
         while data:
             if self.head_normalizer is not None:
-                text, data = self.head_normalizer.feed(data)
+                text, rest = self.head_normalizer.feed(data)
+                self.bytes_parsed += len(data) - len(rest)
+                data = rest
                 self.parser.feed_data(text)
                 if self.head_normalizer.complete:
                     self.head_normalizer = None if self.in_request else HeadNormalizer()
@@ -566,6 +603,7 @@
             else:
                 size = self.body_remaining or blank_line_end(self.body_tail, data)
                 text, data = data[:size], data[size:]
+                self.bytes_parsed += len(text)
                 self.parser.feed_data(text)
                 self.body_tail = (self.body_tail + text)[1 - len(HEAD_END):]
                 self.body_remaining = None if self.body_remaining is None else self.body_remaining - len(text)
@@ -627,9 +665,12 @@
         if pause:
             self.read_paused_at = now
             self.transport.pause_reading()
-            self.server.watch_for_disconnect(self)
+            self.observe_unread(now)
+            self.server.watch_unread(self)
         else:
             self.awaiting_since += now - self.read_paused_at  # the pause does not count towards the timeout
+            self.read_resumed_at = now
+            self.arrivals.resume()
             self.transport.resume_reading()
 
     def pause_writing(self) -> None:
@@ -801,6 +842,11 @@
         assert self.transport is not None
         return int(self.transport.get_extra_info("socket").fileno())
 
+    def is_read_late(self) -> bool:
+        """True while reading is paused, and afterwards until all that had waited is read."""
+        is_open = self.transport is not None and not self.transport.is_closing()
+        return is_open and (self.read_paused or self.arrivals.is_behind)
+
     def has_unread_data(self) -> bool:
         """True if the kernel holds unread data, which may be a request that closing would lose."""
         return self.transport is not None and is_readable(self.transport.get_extra_info("socket"))
@@ -843,26 +889,31 @@
         self.held_by_predecessor = 0  # connections of the predecessor, which count towards max_connections
         self.check_timer = self.loop.call_later(CHECK_INTERVAL, self.check_connections)
         self.loop_stalls = LoopStalls(clock())
-        self.read_paused: set[ClientConnection] = set()  # connections to check for disconnects
-        self.disconnect_check_timer: asyncio.TimerHandle | None = None
-
-    def watch_for_disconnect(self, connection: ClientConnection) -> None:
-        """Checks a connection for its client's disconnect for as long as its reading is paused."""
-        self.read_paused.add(connection)
-        if self.disconnect_check_timer is None:
-            self.disconnect_check_timer = self.loop.call_later(
-                DISCONNECT_CHECK_INTERVAL, self.check_disconnects)
-
-    def check_disconnects(self) -> None:
-        """Asks the kernel which paused connections are closed, as the loop does not report those."""
-        self.disconnect_check_timer = None
-        self.read_paused = {c for c in self.read_paused if c.read_paused and c.transport is not None}
-        by_descriptor = {c.descriptor(): c for c in self.read_paused if c.exchanges}
+        self.read_late: set[ClientConnection] = set()  # connections with bytes that may wait to be read
+        self.unread_check_timer: asyncio.TimerHandle | None = None
+
+    def watch_unread(self, connection: ClientConnection) -> None:
+        """Checks a connection until its reading has resumed and all that waited is read."""
+        self.read_late.add(connection)
+        if self.unread_check_timer is None:
+            self.unread_check_timer = self.loop.call_later(UNREAD_CHECK_INTERVAL, self.check_unread)
+
+    def check_unread(self) -> None:
+        """Asks the kernel which paused connections are closed, as the loop does not report those.
+
+        On the others it asks how many bytes wait.
+        """
+        self.unread_check_timer = None
+        self.read_late = {c for c in self.read_late if c.is_read_late()}
+        by_descriptor = {c.descriptor(): c for c in self.read_late if c.read_paused and c.exchanges}
         for descriptor in closed_by_peer(by_descriptor):
             by_descriptor[descriptor].abort_disconnected()
-        if self.read_paused:
-            self.disconnect_check_timer = self.loop.call_later(
-                DISCONNECT_CHECK_INTERVAL, self.check_disconnects)
+        now = self.clock()
+        for connection in list(self.read_late):
+            if connection.is_read_late():
+                connection.observe_unread(now)
+        if self.read_late:
+            self.unread_check_timer = self.loop.call_later(UNREAD_CHECK_INTERVAL, self.check_unread)
 
     def check_connections(self) -> None:
         """Runs every CHECK_INTERVAL: records stalls of the loop and applies the connections' timeouts."""
@@ -1028,8 +1079,8 @@
     def close(self) -> None:
         """Cancels the timers; connections and the listening socket are not closed."""
         self.check_timer.cancel()
-        if self.disconnect_check_timer is not None:
-            self.disconnect_check_timer.cancel()
+        if self.unread_check_timer is not None:
+            self.unread_check_timer.cancel()
 
     async def wait_flushed(self, timeout: float) -> None:
         """Waits until the kernel has accepted every answer, for up to `timeout` seconds."""
--- a/embersill/net/driver.py
+++ b/embersill/net/driver.py
@@ -36,8 +36,8 @@
 GUARD_MARGIN = 0.05  # seconds before the end of the budget at which the guard fails an unanswered request
 # Seconds between log lines of figures: short enough to show one bad stretch, long enough for a small log.
 REPORT_INTERVAL = 10.0
-# Seconds: the deadline that the decision module gets while the body is still being received. The budget
-# starts with the last byte, and the client side ends an upload that stalls.
+# Seconds: the deadline that the decision module gets while the body is still being received, as the budget
+# starts with the last byte.
 UPLOAD_TIMEOUT = 3600.0
 FLUSH_POLL_INTERVAL = 0.005  # seconds between checks for the last counter calls; these time out in some 30 ms
 MAX_TRACED_ENTRIES = 64  # entries of one list that are traced each
@@ -180,15 +180,47 @@
         pending.guard_timer = self.loop.call_later(
             max(expires_at - self.clock(), 0.0), self.fail_unanswered, pending)
 
-    def on_upload_completed(self, request_id: int) -> None:
-        """Starts the budget of a request, as the last byte of its streamed body has been received."""
+    def on_body_delayed(self, request_id: int, written_at: float | None) -> None:
+        """Limits a request whose streamed body is not read to its end, although it may be written by now.
+
+        written_at: when the client may have written the last byte; None: it has not written that yet
+        """
         pending = self.pending.get(request_id)
         if pending is not None and not pending.ended:
-            now = self.clock()
-            pending.deadline = pending.deadline_from(now)
-            self.start_guard_timer(pending, now)
+            if self.trace is not None:
+                waited = None if written_at is None else self.clock() - written_at
+                self.trace.note("body_delayed", request=pending.request.call_id, waited=waited)
+            self.limit_upload(pending, written_at)
+
+    def on_upload_completed(self, request_id: int, written_at: float) -> None:
+        """Starts the budget of a request, as the last byte of its streamed body has been received.
+
+        written_at: when the client wrote the last byte, at the earliest
+        """
+        pending = self.pending.get(request_id)
+        if pending is not None and not pending.ended:
+            if self.trace is not None:
+                self.trace.note("body_complete", request=pending.request.call_id,
+                                read_late=self.clock() - written_at)
+            self.limit_upload(pending, written_at)
             self.post(UploadCompleted(request_id))
 
+    def limit_upload(self, pending: PendingRequest, written_at: float | None) -> None:
+        """Sets the deadline of a request by the time of its last byte; None while the client writes."""
+        deadline = pending.request.received_at + UPLOAD_TIMEOUT
+        if written_at is not None:
+            deadline = pending.deadline_from(written_at)
+        pending.deadline = min(deadline, self.stop_deadline - GUARD_MARGIN)
+        if pending.guard_timer is not None:
+            pending.guard_timer.cancel()
+        if pending.sink is not None:
+            return  # an answer that has begun goes on to its end
+        if written_at is not None:
+            self.start_guard_timer(pending, written_at)
+        for attempt in pending.attempts:
+            if not attempt.ended:
+                self.dialer.limit_upload(attempt, pending.deadline)
+
     def start_stream(
         self, pending: PendingRequest, attempt_number: int, headers: bytes, length: int | None
     ) -> Sink | None:
@@ -320,6 +352,7 @@
             lambda attempt, answer: self.on_attempt_ended(pending, attempt_number, attempt, answer),
             lambda attempt, headers, length: self.start_stream(pending, attempt_number, headers, length),
             pending.request.upload, now + action.send_window, lambda: self.is_abandoned(pending),
+            pending.deadline,
         )
         if self.trace is not None:
             reason = pending.last_outcome or "first"
--- a/embersill/net/tcp_info.py
+++ b/embersill/net/tcp_info.py
@@ -1,9 +1,12 @@
-"""State of a TCP connection from the kernel: getsockopt with TCP_INFO, as in tcp(7) and linux/tcp.h."""
+"""State of a TCP connection from the kernel: TCP_INFO and FIONREAD, as in tcp(7) and linux/tcp.h."""
 
 from __future__ import annotations
 
+import fcntl
 import socket
 import struct
+import sys
+import termios
 
 # tcpi_last_data_recv, in milliseconds: eight bytes and eleven 32-bit integers precede it
 LAST_DATA_RECEIVED = struct.Struct("=52xI")
@@ -19,3 +22,11 @@
         return 0.0
     (milliseconds,) = LAST_DATA_RECEIVED.unpack(info)
     return float(milliseconds) / 1000.0
+
+
+def unread_bytes(descriptor: int) -> int:
+    """Bytes that have arrived and are not read yet; 0 if the kernel does not report them."""
+    try:
+        return int.from_bytes(fcntl.ioctl(descriptor, termios.FIONREAD, bytes(4)), sys.byteorder)
+    except OSError:
+        return 0
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -14,7 +14,7 @@
 
 from embersill.lab.peers import HttpMessage, response_bytes
 from embersill.net.backends import BackendConnection, Dialer
-from embersill.net.clients import DISCONNECT_CHECK_INTERVAL, MAX_PIPELINED, ClientConnection
+from embersill.net.clients import UNREAD_CHECK_INTERVAL, MAX_PIPELINED, ClientConnection
 from embersill.net.pool import Address
 from tests.bed import Bed, Client, request, roomy_settings
 from tests.bed import with_bed as with_any_bed
@@ -47,7 +47,7 @@
 
 def test_disconnects_are_checked_often_enough() -> None:
     # A check may just have passed when a client disconnects; the other half of the time is for the loop.
-    assert DISCONNECT_CHECK_INTERVAL <= MAX_DETECTION_TIME / 2
+    assert UNREAD_CHECK_INTERVAL <= MAX_DETECTION_TIME / 2
 
 
 async def check_nothing_more_is_sent(bed: Bed, seen: int) -> None:
@@ -271,11 +271,11 @@
         idle = [await bed.client() for _ in range(20)]
         for number, client in enumerate(idle):
             assert (await client.ask(request(number)))[0] == 200
-        assert server.disconnect_check_timer is None and not server.read_paused
+        assert server.unread_check_timer is None and not server.read_late
         client = await bed.client()
         connection = await paused_connection(bed, client)
-        assert server.read_paused == {connection} and server.disconnect_check_timer is not None
-        await asyncio.sleep(3 * DISCONNECT_CHECK_INTERVAL)
+        assert server.read_late == {connection} and server.unread_check_timer is not None
+        await asyncio.sleep(3 * UNREAD_CHECK_INTERVAL)
         assert connection.exchanges and not connection.input_ended  # its requests are kept
 
     with_bed(test, sockets=4096)
