Keep long Quota-Info headers out of the cache of parsed ones

Seen while looking at what heads hold: parse_quota_info had an lru_cache of 4,096 texts, each as long as a client writes it, as unknown fields are passed over. Any client could so make a gateway hold up to 128 MB. Texts over 128 bytes are now parsed each time.

tests/test_incident_small_pieces.py, 800 requests with headers of 30 kB one after another: over 32 MB before, passes now; with 1,500 requests 57.8 MB before.

--- a/embersill/net/clients.py
+++ b/embersill/net/clients.py
@@ -59,6 +59,7 @@
 HANDOVER_RETRY_INTERVAL = 0.005  # seconds until a hand-over is retried: the last answer is still being sent
 ACCEPT_BATCH = 64  # connections accepted per loop iteration, so that established ones are served in between
 
+MAX_CACHED_HEADER = 128  # bytes
 CALL_ID = re.compile(rb"[0-9A-Za-z_.-]{1,64}")
 CLIENT_PARAMETER = re.compile(rb"[?&]client=([^&]*)")
 CUSTOMER_ID = re.compile(rb"0{7}[01][0-9A-Fa-f]{8}")  # 64-bit hexadecimal, below 2^33
@@ -92,12 +93,22 @@
         self.status, self.headers = status, headers
 
 
-@lru_cache(maxsize=4096)
-def parse_quota_info(text: bytes) -> tuple[float, int, int]:
+def read_quota_info(text: bytes) -> tuple[float, int, int]:
     """The units, spread and first of a Quota-Info header; raises BadRequest if it is malformed.
 
-    Cached, since clients send few different values.
+    Short ones are cached, since clients send few different values. A long one may fill a head.
     """
+    return cached_quota_info(text) if len(text) <= MAX_CACHED_HEADER else parse_quota_info(text)
+
+
+@lru_cache(maxsize=4096)
+def cached_quota_info(text: bytes) -> tuple[float, int, int]:
+    """As parse_quota_info."""
+    return parse_quota_info(text)
+
+
+def parse_quota_info(text: bytes) -> tuple[float, int, int]:
+    """As read_quota_info, without the cache."""
     values: dict[bytes, float] = {}
     for field in text.split(b","):
         if field.partition(b"=")[0].strip() not in QUOTA_FIELDS:
@@ -146,7 +157,7 @@
             raise BadRequest(400, "Plan names no plan")
         if (body or upload is not None) and method == b"GET":
             raise BadRequest(400, "a GET with a body")
-        units, gateway_count, first = parse_quota_info(self.required(headers, b"quota-info"))
+        units, gateway_count, first = read_quota_info(self.required(headers, b"quota-info"))
         if gateway_count > self.gateways or first >= self.gateways or units > self.max_units:
             raise BadRequest(400, "Quota-Info has more units or gateways than there are")
         return ClientRequest(
--- a/tests/test_incident_small_pieces.py
+++ b/tests/test_incident_small_pieces.py
@@ -29,6 +29,7 @@
 KEPT_SIZE = 60_000  # bytes of a body below STREAMING_THRESHOLD
 STREAMED_SIZE = STREAMING_THRESHOLD + 10_000  # bytes
 HEAD_SIZE = 31_000  # bytes, below the limit on a head
+LONG_HEADERS = 800  # requests, each with a header of nearly HEAD_SIZE bytes
 SENT_AHEAD = 60_000  # bytes of requests
 ANSWER_SIZE = 60_000  # bytes
 BLOCK_SIZE = 16_384  # bytes written at a time
@@ -220,3 +221,21 @@
             await peer.stop()
 
     run(test)
+
+
+def test_long_quota_headers_are_not_held_after_their_requests(tmp_path: pathlib.Path) -> None:
+    """The cache of parsed headers held 4,096 of them, whatever their length: up to 128 MB."""
+
+    async def test() -> None:
+        async with soak_bed(tmp_path, 4, DEPLOYMENT) as bed:
+            for model in bed.backends.models.values():
+                model.mean_work_time = 0.001
+            reader, writer = await bed.connect()
+            for number in range(LONG_HEADERS):
+                field = f"first=0,x={number:0{HEAD_SIZE - 1_000}}"
+                writer.write(bed.make_request(f"long-{number}").replace(b"first=0", field.encode()))
+                await read_message(reader)
+            assert anonymous_memory_mb(bed) <= MEMORY_MB
+            writer.close()
+
+    run(test)
