--- a/tests/soak_bed.py
+++ b/tests/soak_bed.py
@@ -20,6 +20,24 @@
 
 LOOKUP = RequestClass("lookup", "repeatable", 2.0, 5.0)
 BOOKING = RequestClass("booking", "once", 2.0, 5.0)
+SIGNATURE = RequestClass("signature", "by_key", 2.0, 5.0, "all", 5.0)
+CHUNKED = "Transfer-Encoding: chunked"
+
+
+def signature_head(call_id: str, framing: str, budget: float = 5.0) -> bytes:
+    """Returns the head of a request of the class SIGNATURE; `framing`: the header line for its body."""
+    lines = [
+        "POST /api?client=00000000000000c1 HTTP/1.1",
+        "Host: backend.local",
+        f"X-Call-Id: {call_id}",
+        f"X-Call-Class: {SIGNATURE.name}",
+        "Plan: basis",
+        f"X-Budget: {budget:.3f}",
+        f"Idempotency-Key: key-{call_id}",
+        "Quota-Info: units=1,spread=1,first=0",
+        framing,
+    ]
+    return "\r\n".join([*lines, "", ""]).encode()
 
 
 class SoakBed:
--- a/tests/test_incident_small_pieces.py
+++ b/tests/test_incident_small_pieces.py
@@ -16,11 +16,11 @@
 import pytest
 
 from embersill.lab.peers import HOST, Peer, read_message
-from embersill.lab.soak.deployment import Deployment, RequestClass
+from embersill.lab.soak.deployment import Deployment
 from embersill.net.bodies import STREAMING_THRESHOLD
 from tests.bed import run
 from tests.peers import SOON
-from tests.soak_bed import LOOKUP, SoakBed, soak_bed
+from tests.soak_bed import CHUNKED, LOOKUP, SIGNATURE, SoakBed, signature_head, soak_bed
 
 # the least limits of the operators' terms; clients hold at most a third of the descriptors for requests
 MEMORY_MB, SOCKETS = 32, 256
@@ -37,9 +37,7 @@
 WATCH_INTERVAL = 0.02  # seconds between looks at the gateway's memory
 IDLE_TIME = 0.4  # seconds in which the gateway uses hardly any processor time once it has read all
 IDLE_SHARE = 0.2  # of the processor, below which the gateway counts as idle
-CHUNKED = "Transfer-Encoding: chunked"
 
-SIGNATURE = RequestClass("signature", "by_key", 2.0, 5.0, "all", 5.0)
 DEPLOYMENT = Deployment(
     1, (LOOKUP, SIGNATURE), rate=1000.0, burst=1000.0, dial_timeout=5.0, memory_mb=MEMORY_MB, sockets=SOCKETS)
 
@@ -79,22 +77,6 @@
     return (b"%x\r\n%b\r\n" % (piece, b"x" * piece)) * (size // piece)
 
 
-def signature(number: int, *framing: str) -> bytes:
-    """The head of a signature; `framing`: header lines."""
-    lines = [
-        "POST /api?client=00000000000000c1 HTTP/1.1",
-        "Host: backend.local",
-        f"X-Call-Id: sign-{number}",
-        "X-Call-Class: signature",
-        "Plan: basis",
-        "X-Budget: 5.000",
-        f"Idempotency-Key: key-{number}",
-        "Quota-Info: units=1,spread=1,first=0",
-        *framing,
-    ]
-    return "\r\n".join([*lines, "", ""]).encode()
-
-
 def anonymous_memory_mb(bed: SoakBed) -> float:
     """The gateway's memory without its files and libraries (RssAnon)."""
     assert bed.gateway.child is not None
@@ -145,7 +127,8 @@
     async def test() -> None:
         async with soak_bed(tmp_path, 4, DEPLOYMENT) as bed:
             body = chunks(KEPT_SIZE, piece)
-            assert await peak_memory_mb(bed, lambda n: signature(n, CHUNKED) + body) <= MEMORY_MB
+            peak = await peak_memory_mb(bed, lambda n: signature_head(f"sign-{n}", CHUNKED) + body)
+            assert peak <= MEMORY_MB
 
     run(test)
 
@@ -159,7 +142,8 @@
             unreachable = UnreachablePeer()
             await list_only(bed, unreachable.address)
             body = chunks(STREAMED_SIZE, piece)
-            assert await peak_memory_mb(bed, lambda n: signature(n, CHUNKED) + body) <= MEMORY_MB
+            peak = await peak_memory_mb(bed, lambda n: signature_head(f"sign-{n}", CHUNKED) + body)
+            assert peak <= MEMORY_MB
             unreachable.close()
 
     run(test)
@@ -215,7 +199,7 @@
 
             def requests(number: int) -> bytes:
                 first = bed.make_request(f"slow-{number}") if behind_another else b""
-                return first + signature(number, "Content-Length: 2") + b"xx"
+                return first + signature_head(f"sign-{number}", "Content-Length: 2") + b"xx"
 
             assert await peak_memory_mb(bed, requests) <= MEMORY_MB
             await peer.stop()
--- a/tests/test_incident_upload_time.py
+++ b/tests/test_incident_upload_time.py
@@ -17,11 +17,11 @@
 import pytest
 
 from embersill.lab.peers import HOST, read_message, response_bytes
-from embersill.lab.soak.deployment import Deployment, RequestClass
+from embersill.lab.soak.deployment import Deployment
 from embersill.net.clients import MAX_PIPELINED
 from tests.bed import run
 from tests.peers import SOON
-from tests.soak_bed import LOOKUP, SoakBed, soak_bed
+from tests.soak_bed import CHUNKED, LOOKUP, SIGNATURE, SoakBed, signature_head, soak_bed
 
 BUDGET = 1.5  # seconds
 LATE = 0.5 + 0.05  # seconds after its time until which an answer only earns nothing, and the slack on sockets
@@ -33,7 +33,6 @@
 SLOW_RATE = 64_000  # bytes per second, at which clients may send
 READ_INTERVAL = 0.05  # seconds between reads of a slow backend
 
-SIGNATURE = RequestClass("signature", "by_key", 2.0, 5.0, "all", 5.0)
 DEPLOYMENT = Deployment(1, (LOOKUP, SIGNATURE), rate=1000.0, burst=1000.0)
 
 
@@ -91,24 +90,14 @@
         backend.server.close()
 
 
-def signature(framing: str, size: int, budget: float = BUDGET) -> tuple[bytes, list[bytes]]:
+def signature(framing: str, size: int) -> tuple[bytes, list[bytes]]:
     """The head of a signature, and its body in blocks."""
     blocks = [b"x" * min(BLOCK_SIZE, size - first) for first in range(0, size, BLOCK_SIZE)]
-    lines = [
-        "POST /api?client=00000000000000c1 HTTP/1.1",
-        "Host: backend.local",
-        "X-Call-Id: sign",
-        "X-Call-Class: signature",
-        "Plan: basis",
-        f"X-Budget: {budget:.3f}",
-        "Idempotency-Key: key",
-        "Quota-Info: units=1,spread=1,first=0",
-        f"Content-Length: {size}" if framing == "length" else "Transfer-Encoding: chunked",
-    ]
-    if framing == "chunked":
-        blocks = [b"%x\r\n%b\r\n" % (len(block), block) for block in blocks]
-        blocks[-1] += b"0\r\n\r\n"
-    return "\r\n".join([*lines, "", ""]).encode(), blocks
+    if framing == "length":
+        return signature_head("sign", f"Content-Length: {size}", BUDGET), blocks
+    blocks = [b"%x\r\n%b\r\n" % (len(block), block) for block in blocks]
+    blocks[-1] += b"0\r\n\r\n"
+    return signature_head("sign", CHUNKED, BUDGET), blocks
 
 
 async def connect(bed: SoakBed) -> socket.socket:
