Free the head of a request with a streamed body at its end too

The postmortem on small pieces says that what was received of a request is freed with its end; for a streamed body on_message_complete returned before that.

--- a/embersill/net/clients.py
+++ b/embersill/net/clients.py
@@ -469,6 +469,7 @@
             self.input_ended = not exchange.keep_alive
             upload.end()
             self.server.driver.on_upload_completed(exchange.number, self.written_at())
+            self.release_request()
             return
         keep_alive = self.parser.should_keep_alive() and self.is_http_1_1 and not self.end_unknown
         exchange = Exchange(self, keep_alive)
