Let an attempt's time end with the head of a long answer, not with its first byte of body

Callers saw 429 or 502 at the aim of the class (0.38 and 0.57 s) while the backend was giving a long answer. Cause: an answer was streamed, and its attempt's timer ended, with the first byte of the body; a pause after the head ran into the aim. Now an answer longer than what is kept whole is streamed from its head on; one of unknown length 0.2 s after its head, or at the end of the attempt's time if that is sooner.

--- a/embersill/net/backends.py
+++ b/embersill/net/backends.py
@@ -21,7 +21,8 @@
 from embersill.net.framing import AnswerFeeder, BadFraming, FramingFields
 from embersill.net.pool import Address, OpenFailure, PooledConnection, Pool, Waiter
 
-STREAM_AFTER = 0.2  # seconds after which an answer of unknown length is streamed, although it may be short
+# seconds from its head on after which an answer of unknown length is streamed, although it may be short
+STREAM_AFTER = 0.2
 STALL_TIMEOUT = 10.0  # seconds without progress of an answer that is streamed, or of a request body
 MAX_HEAD_BYTES = 16 * 1024  # of an answer, with the heads of interim answers: real ones take some hundred
 # seconds after an answer until its connection carries the next attempt: a surplus second answer may arrive
@@ -112,6 +113,8 @@
     def time_out(self) -> None:
         """Ends the attempt at its deadline, with what is known of whether it ran."""
         connection, pool = self.connection, self.pool
+        if connection is not None and connection.stream_begun_answer():
+            return  # what the backend still gives is not cut off
         if connection is not None and not connection.fully_written:
             self.end(AttemptResult(Outcome.NO_CONNECTION))  # the backend cannot have the complete request
         elif connection is not None:
@@ -149,6 +152,7 @@
         self.length: int | None = None  # of the answer's body, where its head says
         self.ends_at_close = self.body_unwanted = self.paused = self.invalid_framing = False
         self.sink: Sink | None = None  # where the answer is streamed to
+        self.head_passed_on = False  # to the sink
         self.rejected = self.complete = self.keep_alive = self.has_surplus = self.malformed = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -277,28 +281,38 @@
         self.ends_at_close = self.length is None and not framing.chunked and self.status not in (204, 304)
         # the body of a failure is not used: a long one is not waited for
         self.body_unwanted = self.status != 200 and (self.length or 0) > STREAMING_THRESHOLD
+        if self.status != 200:
+            return
+        if (self.length or 0) > STREAMING_THRESHOLD:
+            self.start_streaming()
+        elif self.length is None:
+            self.dialer.loop.call_later(STREAM_AFTER, self.stream_late_answer, self.attempt)
 
     def on_body(self, body: bytes) -> None:
         if self.complete or self.invalid_framing:
             return
-        is_first = not self.size
         self.size += len(body)
         self.body.add(body)
-        if self.sink is not None:
-            return
-        if self.length is None and is_first and self.attempt is not None and self.status == 200:
-            self.dialer.loop.call_later(STREAM_AFTER, self.stream_late_answer, self.attempt)
-        if self.size > STREAMING_THRESHOLD or (self.length or 0) > STREAMING_THRESHOLD:
+        if self.sink is None and self.size > STREAMING_THRESHOLD:
             self.body_unwanted = self.body_unwanted or self.status != 200
             self.start_streaming()
 
-    def stream_late_answer(self, attempt: Attempt) -> None:
+    def stream_late_answer(self, attempt: Attempt | None) -> None:
         """Streams an answer of unknown length that is not complete yet."""
         if self.attempt is attempt and self.sink is None and not self.complete:
             self.start_streaming()
+            self.pass_on()
+            self.pause_if_client_full()
+
+    def stream_begun_answer(self) -> bool:
+        """Streams an answer that has begun and may be long; False if there is none."""
+        may_be_long = self.status == 200 and self.length is None and not self.invalid_framing
+        if may_be_long and self.attempt is not None:
+            self.stream_late_answer(self.attempt)
+        return self.sink is not None
 
     def start_streaming(self) -> None:
-        """Sends the answer to the client as it arrives from now on, which rules out another attempt."""
+        """Lets the answer be passed on as it arrives from now on, which rules out another attempt."""
         attempt = self.attempt
         if attempt is None or attempt.ended or self.body_unwanted:
             return
@@ -308,12 +322,11 @@
         if attempt.timer is not None:
             attempt.timer.cancel()
         self.sink, sink.on_writable = sink, self.resume
-        self.pass_on()
-        self.pause_if_client_full()
 
     def pass_on(self) -> None:
         """Passes what was received of a streamed answer to the client, as one piece."""
-        if self.sink is not None and self.body:
+        if self.sink is not None and (self.body or not self.head_passed_on):
+            self.head_passed_on = True
             self.paused = not self.sink.write(self.body.take()) or self.paused
 
     def pause_if_client_full(self) -> None:
