Charge all that is held for peers to one amount of memory, and let what grows give way

Callers lost what a killed gateway had taken: hundreds of peers that each held little (slow or stopped bodies, long heads, requests sent ahead, answers read slowly) passed 32 MB. Cause: limits for each connection and none for their sum; MIN_BUFFER_SIZE and the threshold for whole bodies held for each peer. Now all of it is charged to one budget (embersill/net/memory.py), by what the settings leave beside the runtime and the connections, and halved while a predecessor or successor lives. As it runs short, less is read from each peer at a time; where none is left an incomplete request is refused at its end (its body is read and dropped, so nothing is cut off), an unfinished head gets 503, an answer that was kept is streamed, and one that can't be written yet becomes 502. Up to 2 KiB for each peer are free, so small requests are served all along.

--- a/embersill/__main__.py
+++ b/embersill/__main__.py
@@ -28,6 +28,7 @@
 from embersill.net.handover import Handover
 from embersill.net.lameduck import LameDuck
 from embersill.net.list_feed import SLICE_ENTRIES, list_decoder
+from embersill.net.memory import MB, MemoryBudget, buffer_limit
 from embersill.net.listing import Address, InvalidList, Listing, read_address, read_addresses, read_listing
 from embersill.net.listening import open_listener
 from embersill.net.trace import make_trace
@@ -45,12 +46,8 @@
 LATE_AGGREGATOR_SHARE = 0.25
 MIN_SOCKETS = 32  # descriptors; with fewer there are none left to serve with
 CLIENT_SHARE = 0.6  # fraction of the other descriptors for clients: waiting requests need none to backends
-MB = 1024 * 1024  # bytes
 DEFAULT_MEMORY_MB = 32
-BASE_MEMORY = 20 * MB  # bytes used by the runtime and the program without traffic, with a margin
-# Fraction of the other memory for bodies that are buffered in both directions, with all clients connected.
-BODY_MEMORY_SHARE = 0.5
-MIN_BUFFER_SIZE, MAX_BUFFER_SIZE = 8 * 1024, 64 * 1024  # bytes buffered for one peer
+USED_MEMORY = 20 * MB  # bytes used by the runtime and the program without traffic, with a margin
 FIRST_LIST_TIMEOUT = 0.3  # seconds to wait for discovery's list before the cached list is used
 # Seconds after SIGTERM in which clients still connect: the time that the protocol allows them, with a margin.
 ACCEPT_AFTER_SIGTERM = 0.5
@@ -184,9 +181,11 @@
                 MAX_AGGREGATOR_SOCKETS, int(configuration.sockets * MAX_AGGREGATOR_SHARE))
             free -= self.aggregator_sockets
         clients = int(free * CLIENT_SHARE)
+        limits = (buffer_limit(configuration.memory_mb * MB, n, clients, free - clients) for n in (1, 2))
+        self.memory = MemoryBudget(*limits)
         self.dialer = Dialer(
             clock, configuration.limits.dial_timeout, configuration.limits.keepalive, free - clients,
-            configuration.settings.pool, configuration.seed)
+            configuration.settings.pool, configuration.seed, self.memory)
         self.driver = Driver(Gateway(configuration.settings, configuration.seed, clock()), clock, self.dialer)
         self.driver.use_trace(make_trace(os.environ, clock))
         self.aggregators = configuration.aggregators
@@ -201,15 +200,12 @@
         if len(configuration.known.entries) > SLICE_ENTRIES:
             list_decoder()  # loaded now, so that the first long list is not delayed
         self.driver.list_figures = self.discovery.figures
-        memory = max(configuration.memory_mb * MB - BASE_MEMORY, 0)
+        memory = max(configuration.memory_mb * MB - USED_MEMORY, 0)
         self.discovery.max_list_bytes = int(
             min(max(memory / LIST_MEMORY_FACTOR, MIN_LIST_BYTES), MAX_LIST_BYTES))
         if len(configuration.discovery) > 1:
             self.driver.list_age = self.discovery.list_age
-        memory_per_peer = memory * BODY_MEMORY_SHARE / (2 * clients)
-        buffer_size = int(min(max(memory_per_peer, MIN_BUFFER_SIZE), MAX_BUFFER_SIZE))
-        self.front = ClientServer(
-            self.driver, configuration.settings, clock, clients, self.can_serve, buffer_size)
+        self.front = ClientServer(self.driver, configuration.settings, clock, clients, self.can_serve)
         self.stop_requested = asyncio.Event()  # by a signal, or as the lame duck period has ended
         self.lame_duck = LameDuck(clock, self.front, self.stop_requested.set)
         self.handover = Handover(configuration.state_directory, self.driver, self.front, self.lame_duck)
--- a/embersill/net/backends.py
+++ b/embersill/net/backends.py
@@ -19,6 +19,7 @@
 from embersill.interface import Outcome, PoolSettings
 from embersill.net.bodies import READ_SIZE, STREAMING_THRESHOLD, ByteBuffer, Sink, Upload, is_readable
 from embersill.net.framing import AnswerFeeder, BadFraming, FramingFields
+from embersill.net.memory import UNCHARGED_SIZE, Account, MemoryBudget
 from embersill.net.pool import Address, OpenFailure, PooledConnection, Pool, Waiter
 from embersill.net.turns import TURN_TIME
 
@@ -141,6 +142,7 @@
         self.fully_written = False  # the request was written completely
         self.last_progress_at = 0.0  # when bytes were last received, or accepted by the kernel
         self.buffer = dialer.buffer  # what the next read goes into
+        self.account = Account(dialer.memory)
         self.yielding = False  # nothing is read until the next iteration of the loop
         self.parser = httptools.HttpResponseParser(self)
         self.feeder = AnswerFeeder(self.parser.feed_data)
@@ -187,6 +189,8 @@
                 self.last_progress_at = self.pool.clock()
                 self.transport.write(piece)
             upload.on_space()
+            if self.write_pending or self.account.charged:
+                self.update_charge()
         if not self.write_pending and (upload is None or upload.done):
             self.fully_written = True
             self.dialer.attempts_written += 1
@@ -208,7 +212,11 @@
         self.attempt, attempt.connection, attempt.was_written = attempt, self, True
         self.reset_answer()
         self.fully_written, self.last_progress_at = False, self.pool.clock()
-        self.transport.write(b"%bX-Budget: %.3f\r\n\r\n%b" % (attempt.head, wait, attempt.body))
+        head = b"%bX-Budget: %.3f\r\n\r\n" % (attempt.head, wait)
+        if len(attempt.body) <= UNCHARGED_SIZE:
+            self.transport.write(head + attempt.body)
+        else:  # without a copy, which would be held until the kernel accepts it
+            self.transport.writelines((head, attempt.body))
         if attempt.upload is not None:
             attempt.upload.on_data = self.write_body
         self.write_body()
@@ -296,7 +304,8 @@
         if self.complete or self.invalid_framing:
             return
         self.size += len(body)
-        self.body.add(body)
+        if self.status == 200:  # the body of a failure is not used
+            self.body.add(body)
         if self.sink is None and self.size > STREAMING_THRESHOLD:
             self.body_unwanted = self.body_unwanted or self.status != 200
             self.start_streaming()
@@ -329,7 +338,7 @@
 
     def pass_on(self) -> None:
         """Passes what was received of a streamed answer to the client, as one piece."""
-        if self.sink is not None and (self.body or not self.head_passed_on):
+        if self.sink is not None and (self.body.data or not self.head_passed_on):
             self.head_passed_on = True
             self.paused = not self.sink.write(self.body.take()) or self.paused
 
@@ -371,12 +380,15 @@
     # callbacks of the transport
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        return self.buffer
+        allowed = self.dialer.memory.peer_buffer
+        return self.buffer if allowed >= len(self.buffer) else self.buffer[:allowed]
 
     def buffer_updated(self, nbytes: int) -> None:
         self.data_received(bytes(self.buffer[:nbytes]))
         if nbytes >= DENSE_READ_SIZE:
-            self.limit_turn(self.pool.clock() - self.last_progress_at)
+            elapsed = self.pool.clock() - self.last_progress_at
+            if elapsed > TURN_TIME or self.buffer is self.dialer.dense_buffer:
+                self.limit_turn(elapsed)
 
     def limit_turn(self, elapsed: float) -> None:
         """Chooses how much to read at a time by the seconds that the last read took."""
@@ -384,8 +396,7 @@
             self.buffer = self.dialer.dense_buffer
         elif elapsed < TURN_TIME / 4:
             self.buffer = self.dialer.buffer
-        if self.buffer is self.dialer.dense_buffer:
-            self.end_turn()
+        self.end_turn()
 
     def data_received(self, data: bytes) -> None:
         attempt, self.last_progress_at = self.attempt, self.pool.clock()
@@ -396,6 +407,8 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.malformed = True
         self.head_size += len(data) if self.in_head else 0
+        if self.sink is None and not (attempt.ended or self.complete):
+            self.update_charge()
         if not attempt.ended:
             self.pass_on()
         if attempt.ended:
@@ -413,12 +426,22 @@
         else:
             self.pause_if_client_full()
 
+    def update_charge(self) -> None:
+        """Charges what is held; an answer for which there is no memory is streamed."""
+        held = 0 if self.sink is not None else len(self.body.data)
+        if self.write_pending and self.transport is not None and self.attempt is not None:
+            held += self.transport.get_write_buffer_size() - len(self.attempt.body)
+        if not self.account.charge(held) and self.sink is None and self.status == 200 and not self.in_head:
+            self.start_streaming()
+
     def finish(self, attempt: Attempt) -> None:
         """Ends the attempt with a complete answer, and keeps the connection where it is reusable."""
         if self.status == 200:
             result = AttemptResult(Outcome.SERVED, self.body.take(), self.units, self.headers)
         else:
             result = AttemptResult(self.failure_outcome())
+        if self.account.charged:
+            self.account.charge(0)
         self.pool.answer_received(self)
         # the connection is freed before the result is reported, as that may start an attempt which can use it
         if self.keep_alive and self.fully_written and not (
@@ -451,6 +474,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         attempt, self.attempt, self.transport = self.attempt, None, None
+        self.account.charge(0)
         if self.connect_task is None:
             self.pool.connection_closed(self)
         if attempt is not None:
@@ -474,10 +498,10 @@
 
     def __init__(
         self, clock: Callable[[], float], dial_timeout: float, keepalive: float, max_connections: int,
-        settings: PoolSettings | None = None, seed: int = 0,
+        settings: PoolSettings | None = None, seed: int = 0, memory: MemoryBudget | None = None,
     ) -> None:
         """`dial_timeout`, `keepalive`: seconds; `max_connections`: open and being opened, at a time."""
-        self.dial_timeout = dial_timeout
+        self.dial_timeout, self.memory = dial_timeout, memory or MemoryBudget()
         self.loop = asyncio.get_running_loop()
         self.pool = Pool(
             clock, self.open, max_connections, keepalive, settings or PoolSettings(), seed)
--- a/embersill/net/bodies.py
+++ b/embersill/net/bodies.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
+from embersill.net.memory import MemoryBudget
+
 STREAMING_THRESHOLD = 64 * 1024  # bytes up to which a body is buffered completely; larger ones are streamed
 MAX_BODY = 32 * 1024 * 1024  # bytes of a request's body
 READ_SIZE = 64 * 1024  # bytes read at a time, into one buffer shared by all connections
@@ -91,8 +93,8 @@
     when data was removed, and `on_data` when the client's side passes on what it has added.
     """
 
-    def __init__(self, length: int | None, max_buffered: int, on_space: Callable[[], None]) -> None:
-        self.length, self.max_buffered, self.on_space = length, max_buffered, on_space
+    def __init__(self, length: int | None, memory: MemoryBudget, on_space: Callable[[], None]) -> None:
+        self.length, self.memory, self.on_space = length, memory, on_space
         self.buffer = ByteBuffer()
         # complete: all was received; started: some was passed to the backend; done: all was.
         self.complete = self.started = self.done = False
@@ -101,7 +103,7 @@
     @property
     def full(self) -> bool:
         """True if no more should be read from the client for now."""
-        return len(self.buffer) >= self.max_buffered
+        return len(self.buffer.data) >= self.memory.stream_buffer
 
     @property
     def framing_header(self) -> bytes:
@@ -126,7 +128,7 @@
 
     def next_chunk(self) -> bytes:
         """Removes and returns what is buffered for the backend; empty if there is nothing now, or no more."""
-        if self.buffer:
+        if self.buffer.data:
             chunk = self.buffer.take()
             self.started = True
             text = chunk if self.length is not None else b"%x\r\n%b\r\n" % (len(chunk), chunk)
--- a/embersill/net/clients.py
+++ b/embersill/net/clients.py
@@ -14,7 +14,6 @@
 from contextlib import suppress
 from dataclasses import dataclass
 from functools import lru_cache
-from math import inf
 from typing import cast
 from urllib.parse import unquote_to_bytes
 
@@ -30,6 +29,7 @@
     HEAD_END, BadFraming, Framing, FramingFields, HeadNormalizer, UnknownCoding, blank_line_end,
 )
 from embersill.net.hold_ups import CHECK_INTERVAL, LoopStalls
+from embersill.net.memory import Account
 from embersill.net.tcp_info import seconds_since_data, unread_bytes
 from embersill.net.turns import LITTLE_DATA, MAX_SLICE, TURN_TIME, TurnQueue, next_slice_size
 
@@ -255,7 +255,17 @@
 
     def has_space(self) -> bool:
         """True while more of a streamed answer may be buffered."""
-        return len(self.unwritten) < self.connection.server.buffer_limit
+        return len(self.unwritten.data) < self.connection.server.memory.stream_buffer
+
+    def has_room_for(self, size: int) -> bool:
+        """True if an answer of `size` bytes can be written at once, or held until it can be."""
+        connection = self.connection
+        is_next = bool(connection.exchanges) and connection.exchanges[0] is self
+        return is_next and not connection.write_blocked or connection.server.memory.has_room(size)
+
+    def held_bytes(self) -> int:
+        """Bytes of the answer that are not written yet."""
+        return len(self.unwritten) + (len(self.response) if self.response is not None else 0)
 
     def take_unwritten(self) -> bytes:
         """Removes and returns what is to be written next of a streamed answer, in its framing."""
@@ -341,6 +351,8 @@
         self.write_blocked: bool = False
         self.read_paused = self.input_ended = self.closing = self.parsing = False
         self.in_request, self.in_head, self.head_size = False, False, 0
+        self.account = Account(server.memory)
+        self.refused = False  # the request being received: there is no memory for its body
         self.head_normalizer: HeadNormalizer | None = HeadNormalizer()  # None while a body is received
         self.body_remaining: int | None = None  # bytes of the body not yet received; None for a chunked body
         self.body_tail = b""  # the last bytes received of the body, which may be part of a blank line
@@ -355,6 +367,7 @@
         self.framing = Framing()
         self.release_request()
         self.request_error: BadRequest | None = None
+        self.refused = False
         self.end_unknown = False  # where the request ends, and so where the next one starts
 
     def release_request(self) -> None:
@@ -424,7 +437,7 @@
 
     def start_upload(self, length: int | None) -> None:
         """Accepts a request whose body is still being received, and streams the body to the backend."""
-        upload = Upload(length, self.server.buffer_limit, self.resume_parsing_later)
+        upload = Upload(length, self.server.memory, self.on_upload_space)
         try:
             if self.target.partition(b"?")[0] != b"/api":
                 raise BadRequest(404, "no such path")
@@ -446,11 +459,13 @@
         """True while the streamed body of this exchange is incomplete."""
         return exchange is self.upload_exchange and self.upload is not None and not self.upload.complete
 
-    def resume_parsing_later(self) -> None:
+    def on_upload_space(self) -> None:
         """Resumes parsing after the backend accepted part of the body.
 
         Scheduled, since this may run inside the parser, which must not be re-entered.
         """
+        if self.account.charged and not self.parsing:
+            self.update_charge()
         if self.read_paused or self.unparsed:
             self.server.loop.call_soon(self.resume_parsing)
 
@@ -462,7 +477,7 @@
             self.request_error = BadRequest(413, "the body is over 32 MB")
         elif self.upload is not None:
             self.upload.feed(body)
-        elif self.request_error is None:
+        elif self.request_error is None and not self.refused:
             self.body.add(body)
             if self.body_size > STREAMING_THRESHOLD:
                 self.start_upload(None)
@@ -507,7 +522,10 @@
             call = server.request_reader.read(
                 self.written_at(), method, self.target, self.headers, self.body.take())
             self.has_backend_request = True
-            exchange.number = server.driver.accept_request(call, exchange)
+            if self.refused:
+                server.driver.reject_request(call, exchange)
+            else:
+                exchange.number = server.driver.accept_request(call, exchange)
         elif path == b"/ready":
             if method != b"GET":
                 raise BadRequest(405, "only GET", b"Allow: GET\r\n")
@@ -518,8 +536,12 @@
     # callbacks of the transport
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        is_busy = self.server.turns and self.head_normalizer is not None
-        buffer = self.server.head_buffer if is_busy else self.server.read_buffer
+        server = self.server
+        is_busy = server.turns.waiting and self.head_normalizer is not None
+        buffer = server.head_buffer if is_busy else server.read_buffer
+        allowed = server.memory.peer_buffer
+        if allowed < len(buffer) and not (self.in_request and self.refused):
+            buffer = buffer[:allowed]
         self.read_size = len(buffer)
         return buffer
 
@@ -576,8 +598,9 @@
         """Parses what was received, in turns with other connections that have much."""
         if self.awaits_turn:
             return
-        if len(self.unparsed) > LITTLE_DATA and self.server.turns:
+        if len(self.unparsed) > LITTLE_DATA and self.server.turns.waiting:
             self.await_turn()
+            self.update_charge()
             self.update_reading()
         else:
             self.take_turn()
@@ -591,29 +614,61 @@
         self.awaits_turn = False
         if self.transport is None:
             return
-        begin = self.server.clock() if len(self.unparsed) > LITTLE_DATA else inf
+        begin = 0.0
         while self.unparsed and not (self.input_ended or self.must_pause_reading()):
-            size = self.slice_size()
-            data, self.unparsed = self.unparsed[:size], self.unparsed[size:]
-            self.parse(data)
+            if len(self.unparsed) <= LITTLE_DATA or self.body_remaining:
+                self.parse_slice(self.body_remaining or LITTLE_DATA)
+                continue
+            begin = begin or self.server.clock()
+            in_chunks = self.head_normalizer is None
+            self.parse_slice(self.body_slice if in_chunks else LITTLE_DATA if self.blank_size else HEAD_SLICE)
             elapsed = self.server.clock() - begin
-            if self.head_normalizer is None and self.body_remaining is None:
+            if in_chunks:
                 self.body_slice = next_slice_size(self.body_slice, elapsed)
             if self.unparsed and elapsed >= TURN_TIME:
                 self.await_turn()
                 break
+        # most requests are received whole at once, and nothing is held of them here
+        if self.unparsed or self.in_request or self.account.charged:
+            self.update_charge()
         self.update_reading()
         if self.body_written_at is not None:
             self.update_body_written_at()
         self.try_hand_over()
 
-    def slice_size(self) -> int:
-        """Bytes to parse next: as many as take a short time."""
-        if self.body_remaining:
-            return self.body_remaining
-        if self.head_normalizer is None:
-            return self.body_slice
-        return LITTLE_DATA if self.blank_size else HEAD_SLICE
+    def held_bytes(self) -> int:
+        """Bytes that are held for this client, but for the requests that the driver has."""
+        held = len(self.unparsed)
+        if self.in_request and not self.input_ended:
+            held += self.head_size + len(self.body.data)
+        if self.upload is not None:
+            held += len(self.upload.buffer.data)
+        for exchange in self.exchanges:
+            held += exchange.held_bytes()
+        if self.write_blocked and self.transport is not None:
+            held += self.transport.get_write_buffer_size()
+        return held
+
+    def update_charge(self) -> None:
+        """Charges what is held; a request that is not complete gives way where there is no memory for it."""
+        if not self.account.charge(self.held_bytes()) and self.in_request and self.upload is None:
+            self.refuse_request()
+
+    def refuse_request(self) -> None:
+        """Frees what was received of an incomplete request, which is refused at its end."""
+        self.server.driver.figures.other_counts["refused for memory"] += 1
+        if self.in_head:
+            self.fail_request(503, "no memory for the head")
+            self.release_request()
+            self.parser = httptools.HttpRequestParser(self)  # which holds a field that is not complete
+        else:
+            self.refused, self.body = True, ByteBuffer()
+        self.account.charge(self.held_bytes())
+
+    def parse_slice(self, size: int) -> None:
+        """Parses the first `size` bytes of what was received."""
+        data, self.unparsed = self.unparsed[:size], self.unparsed[size:]
+        self.parse(data)
 
     def parse(self, data: bytes) -> None:
         """Parses bytes, and answers a request that is already known to be in error."""
@@ -707,6 +762,12 @@
             self.close_now("no request came")
         return None
 
+    def give_way_if_stalled(self, now: float) -> None:
+        """Frees the body of a request of which nothing more comes, as memory is short."""
+        is_waiting = self.in_request and self.upload is None and not (self.read_paused or self.input_ended)
+        if is_waiting and self.body.data and now - self.last_read_at > STALLED_AFTER:
+            self.refuse_request()
+
     def history(self) -> ConnectionHistory:
         """What a successor has to know about this connection."""
         awaited_for = 0.0 if self.has_received_request else self.server.clock() - self.awaiting_since
@@ -749,6 +810,13 @@
         """Writes answers in the order of their requests, up to the first request without one."""
         if self.transport is None:
             return
+        self.write_answers()
+        if self.write_blocked or len(self.exchanges) > 1 or self.account.charged:
+            self.update_charge()
+
+    def write_answers(self) -> None:
+        """As flush(), without the charge for what is left."""
+        assert self.transport is not None
         while self.exchanges:
             exchange = self.exchanges[0]
             if exchange.streaming:
@@ -872,6 +940,8 @@
         self.server.on_connection_closed(self)
         self.transport = None
         self.on_client_disconnected()
+        self.unparsed = b""
+        self.account.charge(0)
 
     def close_after_if_stopping(self, exchange: Exchange) -> bool:
         """While the gateway stops, ends the input after the last accepted request; True if this is it.
@@ -933,8 +1003,8 @@
     """
 
     def __init__(self, driver: Driver, settings: Settings, clock: Callable[[], float], max_connections: int,
-                 is_serving: Callable[[], bool], buffer_limit: int = STREAMING_THRESHOLD) -> None:
-        self.buffer_limit = buffer_limit  # bytes buffered per connection and direction
+                 is_serving: Callable[[], bool]) -> None:
+        self.memory = driver.memory
         self.read_buffer = memoryview(bytearray(READ_SIZE))  # shared: data is copied out before the next read
         self.head_buffer = self.read_buffer[:HEAD_READ_SIZE]
         self.driver, self.clock, self.max_connections = driver, clock, max_connections
@@ -956,6 +1026,11 @@
         self.read_late: set[ClientConnection] = set()  # connections with bytes that may wait to be read
         self.unread_check_timer: asyncio.TimerHandle | None = None
 
+    @property
+    def buffer_limit(self) -> int:
+        """Bytes that are buffered for one connection and direction, beside what one read brings."""
+        return self.memory.stream_buffer
+
     def watch_unread(self, connection: ClientConnection) -> None:
         """Checks a connection until its reading has resumed and all that waited is read."""
         self.read_late.add(connection)
@@ -986,6 +1061,8 @@
         self.driver.loop_lag.record(self.loop_stalls.record_check(now))
         for connection in list(self.connections):
             connection.check_timeouts(now)
+            if self.memory.is_exhausted:
+                connection.give_way_if_stalled(now)
 
     def is_ready(self) -> bool:
         """True if /ready is answered with 200."""
--- a/embersill/net/driver.py
+++ b/embersill/net/driver.py
@@ -28,6 +28,7 @@
 from embersill.net.counter import CounterClient
 from embersill.net.listing import Listing
 from embersill.net.figures import Figures
+from embersill.net.memory import UNCHARGED_SIZE, Account, MemoryBudget
 from embersill.net.trace import LoopLag, Trace
 
 # Seconds between the deadline of the decision module and the end of the client's budget: the budget runs from
@@ -83,6 +84,8 @@
 
     def begin(self, headers: bytes, length: int | None) -> Sink: ...
 
+    def has_room_for(self, size: int) -> bool: ...
+
     def client_has_gone(self) -> bool: ...
 
 
@@ -90,11 +93,17 @@
     """An accepted request, until it has its answer and all its attempts have ended."""
 
     __slots__ = (
-        "attempts", "attempts_in_flight", "deadline", "ended", "exchange", "guard_timer", "last_outcome",
-        "request", "request_id", "sink",
+        "account", "attempts", "attempts_in_flight", "deadline", "ended", "exchange", "guard_timer",
+        "last_outcome", "request", "request_id", "sink",
     )
 
-    def __init__(self, request_id: int, request: ClientRequest, exchange: Exchange) -> None:
+    def __init__(
+        self, request_id: int, request: ClientRequest, exchange: Exchange, memory: MemoryBudget
+    ) -> None:
+        self.account: Account | None = None  # for the body, which is kept for further attempts
+        if len(request.body) > UNCHARGED_SIZE:
+            self.account = Account(memory)
+            self.account.charge(len(request.body))
         self.request_id, self.request, self.exchange = request_id, request, exchange
         self.deadline = (request.received_at + UPLOAD_TIMEOUT if request.upload
                          else self.deadline_from(request.received_at))
@@ -115,6 +124,7 @@
 
     def __init__(self, gateway: Gateway, clock: Callable[[], float], dialer: Dialer) -> None:
         self.gateway, self.clock, self.dialer, self.pool = gateway, clock, dialer, dialer.pool
+        self.memory = dialer.memory
         self.pool.on_open_failed = lambda backend, open_connections: self.post(
             ConnectFailed(backend, open_connections))
         self.counter: CounterClient | None = None
@@ -152,11 +162,10 @@
     def accept_request(self, request: ClientRequest, exchange: Exchange) -> int:
         """Returns the id of the accepted request, or 0 if it is rejected because the process stops."""
         if self.stop_deadline - self.clock() < min(MIN_REMAINING_TIME, request.budget):
-            self.figures.count_answer(503, request.request_class)
-            exchange.answer(503, b"", RETRY_SOON_HEADER)
+            self.reject_request(request, exchange)
             return 0
         self.last_request_id += 1
-        pending = PendingRequest(self.last_request_id, request, exchange)
+        pending = PendingRequest(self.last_request_id, request, exchange, self.memory)
         pending.deadline = min(pending.deadline, self.stop_deadline - GUARD_MARGIN)
         self.pending[pending.request_id] = pending
         self.unanswered += 1
@@ -174,6 +183,11 @@
         ))
         return pending.request_id
 
+    def reject_request(self, request: ClientRequest, exchange: Exchange) -> None:
+        """Answers a request that is not accepted; another gateway may have room for it."""
+        self.figures.count_answer(503, request.request_class)
+        exchange.answer(503, b"", RETRY_SOON_HEADER)
+
     def start_guard_timer(self, pending: PendingRequest, received_at: float) -> None:
         budget = pending.request.budget
         expires_at = received_at + budget - min(GUARD_MARGIN, MAX_MARGIN_SHARE * budget / 2)
@@ -428,6 +442,8 @@
         self.unanswered -= 1
         if pending.guard_timer is not None:
             pending.guard_timer.cancel()
+        if len(body) > UNCHARGED_SIZE and not pending.exchange.has_room_for(len(body)):
+            status, body, headers, reason = 502, b"", b"", "no memory for the answer"
         if status:
             self.figures.count_answer(status, pending.request.request_class)
         if pending.sink is None and status:
@@ -445,6 +461,8 @@
 
     def drop_if_done(self, pending: PendingRequest) -> None:
         if pending.ended and not pending.attempts_in_flight:
+            if pending.account is not None:
+                pending.account.charge(0)
             self.pending.pop(pending.request_id, None)
 
     def fail_unanswered(self, pending: PendingRequest) -> None:
--- a/embersill/net/handover.py
+++ b/embersill/net/handover.py
@@ -243,6 +243,7 @@
         """Counts the other process's open connections against the limits, which the two share."""
         self.front.held_by_predecessor, self.driver.pool.held_by_predecessor = (
             int(message["clients"]), int(message["backends"]))
+        self.driver.memory.set_shared(True)
 
     # as the predecessor
 
@@ -291,6 +292,7 @@
             self.channel.send({"say": "closing"})
             return
         self.handed_over = True
+        self.driver.memory.set_shared(True)
         self.front.pause_accepting()
         self.driver.pool.stop_keeping_idle()
         state = {**self.driver.hand_over(), "monotonic": time.monotonic()}
@@ -328,6 +330,7 @@
         """Serves on with the remaining units, as the successor exited before this process was stopped."""
         log.warning("the successor has exited: this process serves on")
         self.handed_over, self.front.send_to_successor, self.successor_console = False, None, ""
+        self.driver.memory.set_shared(False)
         self.driver.pool.keeps_idle = True
         self.driver.cancel_hand_over()
         self.front.resume_accepting()
@@ -408,6 +411,7 @@
         if not self.take_over_result.done():
             self.take_over_result.set_result(False)
         self.front.held_by_predecessor = self.driver.pool.held_by_predecessor = 0
+        self.driver.memory.set_shared(False)
         self.driver.on_predecessor_ended()
 
     def write_state(self, state: Message) -> None:
--- /dev/null
+++ b/embersill/net/memory.py
@@ -0,0 +1,83 @@
+"""One amount of memory for all bytes that the gateway holds for its peers, whoever sent them and in any form.
+
+Each holder charges what it holds. As memory becomes short, peers may have less buffered each, so that it is
+read from them more slowly. Where none is left, what would hold more gives way: `Account.charge` tells it.
+"""
+
+from __future__ import annotations
+
+MB = 1024 * 1024  # bytes
+BASE_MEMORY = 16 * MB  # bytes used by the runtime and the program without traffic
+CLIENT_MEMORY = 10 * 1024  # bytes for a client connection, with UNCHARGED_SIZE
+BACKEND_MEMORY = 10 * 1024  # bytes for a connection to a backend, with UNCHARGED_SIZE
+BUFFER_SHARE = 0.7  # fraction of the rest for what is held: the allocator leaves gaps between buffers
+MIN_LIMIT = 256 * 1024  # bytes
+# Bytes that are held without a charge, so that most requests are served even where no memory is left.
+UNCHARGED_SIZE = 2048
+PEERS_PER_REST = 32  # what is left, divided by this, is what is read from one peer at a time
+MAX_PEER_BUFFER = 64 * 1024  # bytes
+MAX_STREAM_BUFFER = 8 * 1024  # bytes, beside what one read brings: more is copied more often
+DEFAULT_LIMIT = 64 * MB  # bytes
+
+
+def buffer_limit(total: float, processes: int, clients: int, backends: int) -> int:
+    """Bytes for what one process holds, where `processes` share `total` bytes and these connections."""
+    free = total - processes * BASE_MEMORY - clients * CLIENT_MEMORY - backends * BACKEND_MEMORY
+    return max(int(free * BUFFER_SHARE / processes), MIN_LIMIT)
+
+
+class MemoryBudget:
+    """What all accounts together are charged, and the limit.
+
+    The limit is lower while the process shares its memory with a predecessor or successor.
+
+    peer_buffer: bytes that are read from one peer at a time
+    stream_buffer: bytes buffered of one peer's stream from which on nothing more is read from it
+    """
+
+    def __init__(self, limit: int = DEFAULT_LIMIT, shared_limit: int = DEFAULT_LIMIT) -> None:
+        """`limit`, `shared_limit`: bytes, for one process and for each of two."""
+        self.own_limit, self.shared_limit = limit, shared_limit
+        self.limit, self.used = limit, 0
+        self.peer_buffer = self.stream_buffer = 0
+        self.add(0)
+
+    def set_shared(self, shared: bool) -> None:
+        """Chooses the limit."""
+        self.limit = self.shared_limit if shared else self.own_limit
+        self.add(0)
+
+    def add(self, change: int) -> None:
+        """Counts bytes that are held from now on, or no longer."""
+        self.used += change
+        share = (self.limit - self.used) // PEERS_PER_REST
+        self.peer_buffer = min(max(share, UNCHARGED_SIZE), MAX_PEER_BUFFER)
+        self.stream_buffer = min(self.peer_buffer, MAX_STREAM_BUFFER)
+
+    @property
+    def is_exhausted(self) -> bool:
+        """True if there is no room for what one peer may send at a time."""
+        return self.limit - self.used < MAX_PEER_BUFFER
+
+    def has_room(self, size: int) -> bool:
+        """True if `size` bytes more may be held."""
+        return size <= UNCHARGED_SIZE or self.used + size <= self.limit
+
+
+class Account:
+    """What one holder has charged to the budget."""
+
+    __slots__ = ("budget", "charged")
+
+    def __init__(self, budget: MemoryBudget) -> None:
+        self.budget, self.charged = budget, 0
+
+    def charge(self, held: int) -> bool:
+        """Charges the bytes that are held now; False if they are more than before and over the limit."""
+        if held <= UNCHARGED_SIZE:
+            held = 0
+        change = held - self.charged
+        if change:
+            self.budget.add(change)
+            self.charged = held
+        return change <= 0 or self.budget.used <= self.budget.limit
--- a/embersill/net/turns.py
+++ b/embersill/net/turns.py
@@ -14,7 +14,7 @@
 
 TURN_TIME = 0.001  # seconds after which a turn ends, at the next opportunity
 QUEUE_TIME = 0.002  # seconds of one loop iteration for the turns of all waiting connections
-LITTLE_DATA = 2048  # bytes that are parsed at once, even while others wait: most requests are shorter
+LITTLE_DATA = 1024  # bytes that are parsed at once, even while others wait: most requests are shorter
 MIN_SLICE, MAX_SLICE = 4096, 64 * 1024  # bytes of a body that are parsed at a time
 
 
@@ -40,9 +40,6 @@
         self.waiting: deque[Parsing] = deque()
         self.scheduled = False
 
-    def __bool__(self) -> bool:
-        return bool(self.waiting)
-
     def add(self, connection: Parsing) -> None:
         """Appends a connection, which must not be waiting yet."""
         self.waiting.append(connection)
