Keep free what the successor of an upgrade needs, where there is more than 4 MB beside it

Both processes of an upgrade share the limit. Now its budget leaves out what a second process needs at rest; where that leaves too little, as at 32 MB, where two processes at rest take 28, it has 4 MB. At 32 MB an upgrade under load is not proven to stay within the limit.

--- a/embersill/__main__.py
+++ b/embersill/__main__.py
@@ -28,7 +28,7 @@
 from embersill.net.handover import Handover
 from embersill.net.lameduck import LameDuck
 from embersill.net.list_feed import SLICE_ENTRIES, list_decoder
-from embersill.net.memory import MB, MemoryBudget, buffer_limit
+from embersill.net.memory import MB, plan_budget
 from embersill.net.listing import Address, InvalidList, Listing, read_address, read_addresses, read_listing
 from embersill.net.listening import open_listener
 from embersill.net.trace import make_trace
@@ -181,8 +181,7 @@
                 MAX_AGGREGATOR_SOCKETS, int(configuration.sockets * MAX_AGGREGATOR_SHARE))
             free -= self.aggregator_sockets
         clients = int(free * CLIENT_SHARE)
-        limits = (buffer_limit(configuration.memory_mb * MB, n, clients, free - clients) for n in (1, 2))
-        self.memory = MemoryBudget(*limits)
+        self.memory = plan_budget(configuration.memory_mb * MB, clients, free - clients)
         self.dialer = Dialer(
             clock, configuration.limits.dial_timeout, configuration.limits.keepalive, free - clients,
             configuration.settings.pool, configuration.seed, self.memory)
--- a/embersill/net/memory.py
+++ b/embersill/net/memory.py
@@ -12,6 +12,8 @@
 BACKEND_MEMORY = 10 * 1024  # bytes for a connection to a backend, with UNCHARGED_SIZE
 BUFFER_SHARE = 0.7  # fraction of the rest for what is held: the allocator leaves gaps between buffers
 MIN_LIMIT = 256 * 1024  # bytes
+# Bytes up to which buffers may use what a successor would need: without them little could be served.
+SMALL_LIMIT = 4 * MB
 # Bytes that are held without a charge, so that most requests are served even where no memory is left.
 UNCHARGED_SIZE = 2048
 PEERS_PER_REST = 32  # what is left, divided by this, is what is read from one peer at a time
@@ -20,10 +22,12 @@
 DEFAULT_LIMIT = 64 * MB  # bytes
 
 
-def buffer_limit(total: float, processes: int, clients: int, backends: int) -> int:
-    """Bytes for what one process holds, where `processes` share `total` bytes and these connections."""
-    free = total - processes * BASE_MEMORY - clients * CLIENT_MEMORY - backends * BACKEND_MEMORY
-    return max(int(free * BUFFER_SHARE / processes), MIN_LIMIT)
+def plan_budget(total: float, clients: int, backends: int) -> MemoryBudget:
+    """The budget of a process with these connections; with a successor it may use `total` bytes."""
+    free = total - BASE_MEMORY - clients * CLIENT_MEMORY - backends * BACKEND_MEMORY
+    beside_successor = BUFFER_SHARE * (free - BASE_MEMORY)
+    limit = max(beside_successor, min(BUFFER_SHARE * free, SMALL_LIMIT), MIN_LIMIT)
+    return MemoryBudget(int(limit), int(max(beside_successor / 2, MIN_LIMIT)))
 
 
 class MemoryBudget:
