Remember what may have run of a request, for when it comes again or at the successor

A signature whose client left after 0.12 s and sent it again at once ran in two cells; one that may run only once ran twice, also while the first was open and at the successor of an upgrade. Cause: all that was known of a request went with its client. A successor gets what is kept, and each process of an upgrade tells the other of later attempts. Answers 429 and 503 become 502 where it may have run.

--- a/embersill/control.py
+++ b/embersill/control.py
@@ -24,11 +24,12 @@
 from embersill.interface import (
     Action, AddToCounter, AggregationSettings, AttemptEnded, Backend, BackendList, BackendStatus, Cancel,
     ClientDisconnected, CloseUnusedConnections, ConnectFailed, CounterCallEnded, DedupScope, Event, Fail,
-    FlushCounts, ListKind, Outcome, Plan, PoolSettings, Preconnect, PredecessorEnded, PredecessorState,
-    Refuse, RepeatPolicy, Request, RequestClass, Restore, Send, SetPoolSize, SetTimer, Settings,
-    SettingsChanged, StreamStarted, Subscribe, Suspend, TimerExpired, UploadCompleted,
+    FlushCounts, ListKind, Outcome, PeerRun, Plan, PoolSettings, Preconnect, PredecessorEnded,
+    PredecessorState, Refuse, RepeatPolicy, Request, RequestClass, Restore, Send, SetPoolSize, SetTimer,
+    Settings, SettingsChanged, ShareRun, StreamStarted, Subscribe, Suspend, TimerExpired, UploadCompleted,
 )
 from embersill.records import Attempt, Job
+from embersill.run_history import PossibleRun, RunHistory, request_key
 from embersill.serving_set import ServingSet
 from embersill.settings import validate_settings
 from embersill.state_transfer import end_predecessor, restore_state, export_state
@@ -327,6 +328,9 @@
     counter_failures: consecutive failed counter calls, up to 4
     counted_fraction: fraction of the low-rate requests for which the counter is called
     budget: limit on counter calls; None: no limit
+    open_calls: the requests in `jobs` that have a client's id, by it
+    run_history: requests that may have run and that must not run again anywhere
+    shares_runs: the other process of an upgrade has to know what is recorded there
     grant_rates: fraction of the counted low-rate requests for which the quota had credit, by plan and by
         whether the slice covered them
     """
@@ -359,6 +363,11 @@
         self.relative_ratings: dict[str, float] = {}
         self.machine_slowness: dict[str, float] = {}
         self.jobs: dict[int, Job] = {}
+        self.open_calls: dict[str, Job] = {}
+        self.run_history = RunHistory(max(
+            (max(c.memory, c.deadline) for c in settings.classes if c.repeat_policy is not RepeatPolicy.SAFE),
+            default=0.0))
+        self.shares_runs = False
         self.throttles: dict[str, Throttle] = {}
         self.idle_scan: deque[str] = deque()
         self.expected_times: dict[tuple[str, float], float] = {}
@@ -408,16 +417,18 @@
         if request.id in self.jobs:
             return
         if self.handed_over:
-            self.given_up["handed over"] += 1
-            return self.actions.append(
-                Refuse(request.id, self.bounded_retry_after(MIN_RETRY_AFTER), "handed over"))
+            return self.reject(request, MIN_RETRY_AFTER, "handed over")
         request_class, plan = self.classes.get(request.request_class), self.plans.get(request.plan)
         if request_class is None or plan is None or request.deadline <= self.now:
-            self.given_up["unknown or late"] += 1
-            return self.actions.append(
-                Refuse(request.id, self.bounded_retry_after(DEMAND_PERIOD), "unknown or late"))
+            return self.reject(request, DEMAND_PERIOD, "unknown or late")
+        key = request_key(request.customer, request.call_id) if request.call_id else ""
+        run = self.run_history.find(key) if request_class.repeat_policy is not RepeatPolicy.SAFE else None
+        if key in self.open_calls or run is not None and not self.may_run_again(run, request_class):
+            return self.reject(request, DEMAND_PERIOD, "came again")
         throttle = self.throttles.get(request.customer) or self.add_customer(request, plan)
-        self.jobs[request.id] = job = Job(request, request_class, throttle, self.now)
+        self.jobs[request.id] = job = Job(request, request_class, throttle, self.now, key, run)
+        if key:
+            self.open_calls[key] = job
         units = request.units
         throttle.refill(self.now)
         throttle.record_demand(units, self.now)
@@ -452,6 +463,57 @@
         self.release_held(throttle)
         self.actions.append(SetTimer(max(max_hold, 1e-6), f"h{request.id}"))
 
+    def may_run_again(self, run: PossibleRun, request_class: RequestClass) -> bool:
+        """Returns whether a request that may have run before may be sent, as it comes again.
+
+        That takes a class by key, and the time for which backends remember the key.
+        """
+        return (request_class.repeat_policy is RepeatPolicy.BY_KEY
+                and self.now - run.sent_at < request_class.memory)
+
+    def find_open(self, customer: str, call_id: str) -> int | None:
+        """Returns the id of the request that has this client's id and has not ended, or has attempts out."""
+        job = self.open_calls.get(request_key(customer, call_id))
+        return None if job is None else job.request.id
+
+    def may_refuse(self, request: Request) -> bool:
+        """Returns whether a request that is not accepted may be refused: it has not run, or is harmless."""
+        request_class = self.classes.get(request.request_class)
+        key = request_key(request.customer, request.call_id)
+        return request_class is None or is_harmless(request_class) or not (
+            key in self.open_calls or self.run_history.find(key) is not None)
+
+    def reject(self, request: Request, retry_after: float, reason: str) -> None:
+        """Sends the final answer to a request that is not accepted."""
+        self.given_up[reason] += 1
+        self.actions.append(
+            Refuse(request.id, self.bounded_retry_after(retry_after), reason) if self.may_refuse(request)
+            else Fail(request.id, reason))
+
+    def update_run(self, job: Job) -> None:
+        """Records what may have run of a request that must not run again anywhere."""
+        if job.request_class.repeat_policy is RepeatPolicy.SAFE:
+            return
+        job.run = run = possible_run(job)
+        if not job.key:
+            return
+        if run is None:
+            return self.run_history.withdraw(job.key)
+        self.run_history.record(job.key, run.group, run.sent_at, job.attempt_count, self.now)
+        if self.shares_runs:
+            self.actions.append(ShareRun(
+                PeerRun(job.key, run.group, self.now - run.sent_at, job.attempt_count)))
+
+    def on_peer_run(self, event: PeerRun) -> None:
+        """Records what may have run for the other process of an upgrade."""
+        self.run_history.record(event.key, event.group, self.now - event.age, event.attempts, self.now)
+
+    def drop_job(self, job: Job) -> None:
+        """Forgets a request that has ended and has no attempts in flight."""
+        self.jobs.pop(job.request.id, None)
+        if job.key:
+            self.open_calls.pop(job.key, None)
+
     def refuse_held(self, job: Job) -> None:
         """Refuses a held request and gives its units back."""
         throttle = job.throttle
@@ -824,10 +886,9 @@
         Ineligible candidates are replaced by others, and failing ones as well unless all of them fail.
         """
         pool, weighted = self.serving_servers, True
-        if job.first_possibly_run is not None and job.request_class.repeat_policy is RepeatPolicy.BY_KEY:
+        if job.run is not None and job.request_class.repeat_policy is RepeatPolicy.BY_KEY:
             weighted = False
-            pool = self.serving.group(
-                job.request_class.dedup_scope, group_of(job.request_class, job.first_possibly_run.server))
+            pool = self.serving.group(job.request_class.dedup_scope, job.run.group)
         best, min_cost, found = None, 0.0, 0
         self.first_request_server = self.pick_first_request(job)
         if self.first_request_server is not None:
@@ -1113,7 +1174,7 @@
 
     def may_send(self, job: Job, server: Server) -> bool:
         """Returns whether one more attempt may be sent: the only check of all conditions for that."""
-        settings, first = self.settings, job.first_possibly_run
+        settings, run = self.settings, job.run
         if job.ended or job.streaming or self.now >= job.request.deadline:
             return False
         free = server.in_flight < min(server.limit, server.max_connections)
@@ -1121,13 +1182,13 @@
         if (server.backend.status is not BackendStatus.SERVING or not current
                 or server.backend.address in self.suspended):
             return False
-        if len(job.attempts) >= settings.max_attempts or (job.attempts_in_flight and not settings.may_hedge):
+        if job.attempt_count >= settings.max_attempts or (job.attempts_in_flight and not settings.may_hedge):
             return False
-        if first is not None and job.request_class.repeat_policy is RepeatPolicy.ONCE:
+        if run is not None and job.request_class.repeat_policy is RepeatPolicy.ONCE:
             return False
-        if first is not None and job.request_class.repeat_policy is RepeatPolicy.BY_KEY:
-            other_group = group_of(job.request_class, first.server) != group_of(job.request_class, server)
-            if other_group or self.now - first.sent_at >= job.request_class.memory:
+        if run is not None and job.request_class.repeat_policy is RepeatPolicy.BY_KEY:
+            other_group = run.group != group_of(job.request_class, server)
+            if other_group or self.now - run.sent_at >= job.request_class.memory:
                 return False
         if (server is not self.first_request_server
                 and server.in_flight >= self.cold_in_flight_limit(server)):
@@ -1152,9 +1213,9 @@
         job.attempts_in_flight += 1
         job.attempts.append(attempt)
         send_window = inf
-        if job.first_possibly_run is not None and job.request_class.repeat_policy is RepeatPolicy.BY_KEY:
-            send_window = job.first_possibly_run.sent_at + job.request_class.memory - self.now
-        job.first_possibly_run = job.first_possibly_run or attempt
+        if job.run is not None and job.request_class.repeat_policy is RepeatPolicy.BY_KEY:
+            send_window = job.run.sent_at + job.request_class.memory - self.now
+        self.update_run(job)
         timeout = self.useful_until(job, attempt) - self.now
         self.actions.append(Send(job.request.id, server.backend.address, timeout, send_window))
         if not job.uploading:
@@ -1275,7 +1336,8 @@
         self.stop_awaiting(attempt)
         job.attempts_in_flight -= 1
         job.throttle.in_flight -= 1
-        job.first_possibly_run = next((a for a in job.attempts if not a.never_ran), None)
+        if attempt.never_ran:
+            self.update_run(job)
         if not already_learned:
             self.learn(job, attempt, event.outcome, event.elapsed)
         self.correct_units(job, event.actual_units)
@@ -1283,7 +1345,7 @@
         if not job.ended and not job.attempts_in_flight:
             self.retry_or_end(job, event)
         if job.ended and not job.attempts_in_flight:
-            self.jobs.pop(event.request, None)
+            self.drop_job(job)
         if job.throttle.queue and job.throttle.plan.concurrency > 0:
             self.release_held(job.throttle)
 
@@ -1365,16 +1427,13 @@
             return
         job.ended = True
         self.given_up[reason] += 1
-        keyed = (job.request_class.repeat_policy is RepeatPolicy.BY_KEY
-                 and job.request_class.dedup_scope is DedupScope.ALL)
-        harmless = keyed or job.request_class.repeat_policy is RepeatPolicy.SAFE
-        if job.first_possibly_run is not None and not harmless:
+        if job.run is not None and not is_harmless(job.request_class):
             self.actions.append(Fail(job.request.id, reason))
         else:
             self.actions.append(Refuse(job.request.id, self.bounded_retry_after(retry_after), reason))
         self.cancel_attempts(job)
         if not job.attempts_in_flight:
-            self.jobs.pop(job.request.id, None)
+            self.drop_job(job)
 
     def bounded_retry_after(self, retry_after: float) -> float:
         """Returns the seconds to send with a refusal: no more than clients honour."""
@@ -1396,7 +1455,7 @@
             self.cancel_attempts(job)
             self.release_held(job.throttle)
             if not job.attempts_in_flight:
-                self.jobs.pop(request, None)
+                self.drop_job(job)
 
     def on_timer(self, key: str) -> None:
         """Handles an expired timer. The first letter of its key says what for, and the rest for which object.
@@ -1550,7 +1609,7 @@
     def hand_over(self, now: float) -> dict[str, Any]:
         """Returns the state for a successor; from now on this gateway only ends the requests that it has."""
         self.now = max(self.now, now)
-        self.handed_over = True
+        self.handed_over = self.shares_runs = True
         self.retry_credit /= 2
         return export_state(self)
 
@@ -1560,6 +1619,7 @@
         self.known_addresses.update(state["banned"], state.get("known", ()))
         self.rebuild_serving()
         if "gateway" in state:
+            self.shares_runs = True
             restore_state(self, state)
             self.rebuild_serving()
 
@@ -1582,7 +1642,7 @@
     TimerExpired: lambda g, event: g.on_timer(event.key),
     PredecessorState: lambda g, event: g.on_predecessor_state(event.state),
     ClientDisconnected: lambda g, event: g.on_client_disconnected(event.request),
-    PredecessorEnded: lambda g, event: end_predecessor(g),
+    PredecessorEnded: lambda g, event: end_predecessor(g), PeerRun: Gateway.on_peer_run,
     UploadCompleted: lambda g, event: g.on_upload_completed(event.request),
     FlushCounts: lambda g, event: g.flush_counts(),
     SettingsChanged: lambda g, event: g.apply_settings(event.pool, event.aggregation),
@@ -1624,6 +1684,20 @@
     return server.backend.zone if request_class.dedup_scope is DedupScope.ZONE else server.backend.cell
 
 
+def possible_run(job: Job) -> PossibleRun | None:
+    """Returns the first attempt that is not proven not to have run, also of an earlier time."""
+    first = next((attempt for attempt in job.attempts if not attempt.never_ran), None)
+    if job.earlier_run is not None or first is None:
+        return job.earlier_run
+    return PossibleRun(group_of(job.request_class, first.server), first.sent_at, len(job.attempts))
+
+
+def is_harmless(request_class: RequestClass) -> bool:
+    """Returns whether a request that may have run has no further effect wherever it is sent again."""
+    keyed = request_class.repeat_policy is RepeatPolicy.BY_KEY and request_class.dedup_scope is DedupScope.ALL
+    return keyed or request_class.repeat_policy is RepeatPolicy.SAFE
+
+
 def worth_until(job: Job) -> float:
     """Returns the moment until which an answer has most of its worth.
 
--- a/embersill/interface.py
+++ b/embersill/interface.py
@@ -217,6 +217,7 @@
     first_gateway: index of the first of these gateways
     repeat: the client has sent this request before
     uploading: its body is still being received; UploadCompleted reports its end
+    call_id: the client's id of the request, with which it may come again; "" if it has none
     """
 
     id: int
@@ -229,6 +230,7 @@
     first_gateway: int
     repeat: bool
     uploading: bool = False
+    call_id: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -348,6 +350,20 @@
     state: Mapping[str, Any]
 
 
+@dataclass(frozen=True, slots=True)
+class PeerRun:
+    """A request may have run at a backend for the other process of an upgrade; as in PossibleRun.
+
+    key: the request, as the client names it
+    age: seconds since its first attempt was sent
+    """
+
+    key: str
+    group: str | int
+    age: float
+    attempts: int
+
+
 @dataclass(frozen=True, slots=True)
 class PredecessorEnded:
     """The predecessor process has exited: it has no requests in flight any more."""
@@ -377,10 +393,17 @@
     aggregation: AggregationSettings | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class ShareRun:
+    """Tell the other process of an upgrade that a request may have run."""
+
+    run: PeerRun
+
+
 Event = (
-    Request | BackendList | ClientDisconnected | StreamStarted | AttemptEnded | CounterCallEnded | ProbeEnded
-    | TimerExpired | Suspend | Restore | PredecessorState | PredecessorEnded | UploadCompleted | FlushCounts
-    | ConnectFailed | SettingsChanged
+    Request | PeerRun | BackendList | ClientDisconnected | StreamStarted | AttemptEnded | CounterCallEnded
+    | ProbeEnded | TimerExpired | Suspend | Restore | PredecessorState | PredecessorEnded | UploadCompleted
+    | FlushCounts | ConnectFailed | SettingsChanged
 )
 
 
@@ -488,5 +511,5 @@
 
 Action = (
     Send | Refuse | Fail | Cancel | SetTimer | AddToCounter | Subscribe | CloseUnusedConnections | SetPoolSize
-    | Preconnect
+    | Preconnect | ShareRun
 )
--- a/embersill/net/driver.py
+++ b/embersill/net/driver.py
@@ -20,8 +20,9 @@
 from embersill.interface import (
     Action, AddToCounter, AggregationSettings, AttemptEnded, BackendList, BackendStatus, Cancel,
     ClientDisconnected, CloseUnusedConnections, ConnectFailed, CounterCallEnded, Event, Fail, FlushCounts,
-    Outcome, PoolSettings, Preconnect, PredecessorEnded, PredecessorState, Refuse, Request, Restore, Send,
-    SetPoolSize, SetTimer, SettingsChanged, StreamStarted, Suspend, TimerExpired, UploadCompleted,
+    Outcome, PeerRun, PoolSettings, Preconnect, PredecessorEnded, PredecessorState, Refuse, Request, Restore,
+    Send, SetPoolSize, SetTimer, SettingsChanged, ShareRun, StreamStarted, Suspend, TimerExpired,
+    UploadCompleted,
 )
 from embersill.net.backends import AttemptResult, Attempt, Dialer
 from embersill.net.bodies import Sink, Upload
@@ -147,8 +148,9 @@
             Send: self.send, SetTimer: self.set_timer, Refuse: self.refuse, Fail: self.fail,
             Cancel: self.cancel, AddToCounter: self.add_to_counter,
             CloseUnusedConnections: self.close_unused_connections, SetPoolSize: self.set_pool_size,
-            Preconnect: self.preconnect,
+            Preconnect: self.preconnect, ShareRun: lambda action: self.share_run(action.run),
         }
+        self.share_run: Callable[[PeerRun], None] = lambda run: None  # with the other process of an upgrade
 
     def use_trace(self, trace: Trace | None) -> None:
         """Traces requests, lists and connections from now on; None for no trace."""
@@ -164,6 +166,7 @@
         if self.stop_deadline - self.clock() < min(MIN_REMAINING_TIME, request.budget):
             self.reject_request(request, exchange)
             return 0
+        self.end_abandoned(request)
         self.last_request_id += 1
         pending = PendingRequest(self.last_request_id, request, exchange, self.memory)
         pending.deadline = min(pending.deadline, self.stop_deadline - GUARD_MARGIN)
@@ -179,14 +182,25 @@
         self.post(Request(
             pending.request_id, request.request_class, request.plan, request.customer, pending.deadline,
             request.units, request.gateway_count, request.first_gateway, request.repeat,
-            request.upload is not None,
+            request.upload is not None, request.call_id,
         ))
         return pending.request_id
 
+    def end_abandoned(self, request: ClientRequest) -> None:
+        """Ends an earlier request with this client's id if its client has left; the loop may not know."""
+        open_id = self.gateway.find_open(request.customer, request.call_id)
+        pending = None if open_id is None else self.pending.get(open_id)
+        if pending is not None and not pending.ended:
+            self.is_abandoned(pending)
+
     def reject_request(self, request: ClientRequest, exchange: Exchange) -> None:
         """Answers a request that is not accepted; another gateway may have room for it."""
-        self.figures.count_answer(503, request.request_class)
-        exchange.answer(503, b"", RETRY_SOON_HEADER)
+        may_refuse = self.gateway.may_refuse(Request(
+            0, request.request_class, request.plan, request.customer, 0.0, request.units,
+            request.gateway_count, request.first_gateway, request.repeat, call_id=request.call_id))
+        status = 503 if may_refuse else 502
+        self.figures.count_answer(status, request.request_class)
+        exchange.answer(status, b"", RETRY_SOON_HEADER if may_refuse else b"")
 
     def start_guard_timer(self, pending: PendingRequest, received_at: float) -> None:
         budget = pending.request.budget
@@ -535,7 +549,7 @@
         return self.gateway.hand_over(self.clock())
 
     def cancel_hand_over(self) -> None:
-        self.gateway.handed_over = False
+        self.gateway.handed_over = self.gateway.shares_runs = False
 
     def load_predecessor_state(self, state: dict[str, Any]) -> None:
         self.post(PredecessorState(state))
--- a/embersill/net/handover.py
+++ b/embersill/net/handover.py
@@ -20,6 +20,7 @@
 from dataclasses import asdict
 from typing import Any
 
+from embersill.interface import PeerRun
 from embersill.net.clients import ClientConnection, ConnectionHistory, ClientServer
 from embersill.net.driver import Driver
 from embersill.net.lameduck import LameDuck
@@ -160,6 +161,14 @@
     return ConnectionHistory(bool(message["asked"]), bool(message["served"]), awaited_for)
 
 
+def read_run(message: Message) -> PeerRun:
+    """Reads what the other process has recorded of a request that may have run."""
+    group = message["group"]
+    return PeerRun(
+        str(message["key"]), group if isinstance(group, int) else str(group), float(message["age"]),
+        int(message["attempts"]))
+
+
 class Handover:
     """Part of this process in upgrades: as a successor, if another process runs, later as a predecessor."""
 
@@ -175,6 +184,8 @@
         self.take_over_result: asyncio.Future[bool] = self.loop.create_future()
         self.save_scheduled = False  # a failed write of the state file will be repeated
         self.handed_over = False  # this process only finishes its requests in flight
+        self.peer_knows_runs = False  # the other process is of a version that takes "ran" messages
+        driver.share_run = self.share_run
         # by backend: suspensions, or ends of one, that the other process has not confirmed
         self.pending_confirmations: dict[str, asyncio.Future[None]] = {}
         self.listener: socket.socket | None = None
@@ -200,7 +211,9 @@
 
     async def take_over(self) -> bool:
         """Asks the predecessor to hand over; returns False if it did not in time."""
-        if self.channel is None or not self.channel.send({"say": "take", "console": self.console_address}):
+        if self.channel is None or not self.channel.send(
+            {"say": "take", "console": self.console_address, "runs": True}
+        ):
             return False
         try:
             async with asyncio.timeout(TAKE_OVER_TIMEOUT):
@@ -218,6 +231,7 @@
     def accept_hand_over(self, message: Message, descriptors: list[int]) -> None:
         """Takes over with the descriptors of the listener and, from newer versions, of the state."""
         self.set_peer_connections(message)
+        self.peer_knows_runs = bool(message.get("runs"))
         state = read_memory_file(descriptors[1]) if len(descriptors) > 1 else {}
         self.driver.load_predecessor_state(self.add_clock_offset(state or self.read_state()))
         self.front.listen_on(socket.socket(fileno=descriptors[0]))
@@ -297,7 +311,8 @@
         self.driver.pool.stop_keeping_idle()
         state = {**self.driver.hand_over(), "monotonic": time.monotonic()}
         self.write_state(state)  # for older versions; may fail, for example on a full disk
-        message = {"say": "given", **self.connection_counts(), "lame_duck": self.lame_duck.remaining()}
+        message = {"say": "given", **self.connection_counts(), "lame_duck": self.lame_duck.remaining(),
+                   "runs": True}
         memory_file = create_memory_file(serialize_state(state))
         sent = self.channel.send(message, listener.fileno(), *([] if memory_file < 0 else [memory_file]))
         if memory_file >= 0:
@@ -344,6 +359,7 @@
     def on_message(self, message: Message, descriptors: list[int]) -> None:
         match message["say"]:
             case "take":
+                self.peer_knows_runs = bool(message.get("runs"))
                 self.hand_over(str(message.get("console", "")))
             case "given":
                 self.accept_hand_over(message, descriptors)
@@ -357,6 +373,8 @@
                 self.front.adopt_connection(descriptors[0], read_history(message))
             case "holds":
                 self.set_peer_connections(message)
+            case "ran":
+                self.driver.post(read_run(message))
             case "suspend":
                 self.driver.suspend(str(message["id"]))
                 self.send_confirmation(message)
@@ -370,6 +388,11 @@
             case other:
                 raise ValueError(f"unknown message {other!r}")
 
+    def share_run(self, run: PeerRun) -> None:
+        """Passes on that a request may have run here: its client may send it again to the other process."""
+        if self.channel is not None and self.peer_knows_runs:
+            self.channel.send({"say": "ran", **asdict(run)})
+
     def send_lame_duck(self) -> None:
         """Passes the lame duck state on to the predecessor, which may have to serve on."""
         if self.channel is not None:
--- a/embersill/records.py
+++ b/embersill/records.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from embersill.interface import Request, RequestClass
+from embersill.run_history import PossibleRun
 from embersill.work_times import SheddingState
 
 if TYPE_CHECKING:
@@ -26,9 +27,16 @@
     admit_unchecked: admitted without asking the counter for the customer's level
     covered_by_slice: this gateway's slice of the quota covered it when the counter was asked
     uploading: its body is still being received
+    key: the request, as the client names it; "" if it has no id
+    earlier_run: a possible run of the same request before it came again
+    run: of the attempts that are not proven not to have run, also of an earlier time; None for classes
+        that are safe to repeat
     """
 
-    def __init__(self, request: Request, request_class: RequestClass, throttle: Throttle, now: float) -> None:
+    def __init__(
+        self, request: Request, request_class: RequestClass, throttle: Throttle, now: float, key: str = "",
+        earlier_run: PossibleRun | None = None,
+    ) -> None:
         self.request, self.request_class, self.throttle, self.arrived_at = (
             request, request_class, throttle, now)
         self.attempts: list[Attempt] = []
@@ -37,7 +45,13 @@
             self.covered_by_slice) = False
         self.uploading = request.uploading
         self.reported_units = 0.0  # units reported to the counter; negative: it must not be reported
-        self.first_possibly_run: Attempt | None = None  # the first attempt that is not proven not to have run
+        self.key, self.earlier_run = key, earlier_run
+        self.run = earlier_run
+
+    @property
+    def attempt_count(self) -> int:
+        """Attempts, with those of an earlier time."""
+        return len(self.attempts) + (self.earlier_run.attempts if self.earlier_run is not None else 0)
 
 
 class Attempt:
--- a/embersill/state_transfer.py
+++ b/embersill/state_transfer.py
@@ -48,6 +48,7 @@
         "usual": [[*key, value] for key, value in gateway.expected_times.items()],
         "kinds": gateway.machine_slowness,
         "work_times": gateway.work_times.state(),
+        "runs": gateway.run_history.state(gateway.now),
         "granted": [[*key, value] for key, value in gateway.grant_rates.items()],
     }
 
@@ -102,6 +103,7 @@
     gateway.expected_times = {
         (request_class, units): value for request_class, units, value in state["usual"]}
     gateway.work_times.restore(state.get("work_times", ()), gateway.now)  # older versions do not send it
+    gateway.run_history.restore(state.get("runs", ()), ahead, gateway.now)  # nor this
     gateway.grant_rates.update({(plan, covered): value for plan, covered, value in state["granted"]})
 
 
@@ -151,3 +153,4 @@
     for target, name, number in gateway.predecessor_counts:
         setattr(target, name, getattr(target, name) - number)
     gateway.predecessor_counts = []
+    gateway.shares_runs = False
--- a/tests/bed.py
+++ b/tests/bed.py
@@ -185,6 +185,10 @@
         await asyncio.get_running_loop().sock_connect(sock, (HOST, self.port))
         return Client(*await asyncio.open_connection(sock=sock))
 
+    def forget_requests(self) -> None:
+        """Lets the gateway forget what may have run, so that further requests may have the same ids."""
+        self.program.driver.gateway.run_history.runs.clear()
+
     def seen(self) -> list[HttpMessage]:
         """Returns the requests that the backends have received."""
         return [received for b in self.backends for received in b.seen]
--- a/tests/test_framing_properties.py
+++ b/tests/test_framing_properties.py
@@ -209,6 +209,7 @@
         while bed.program.front.connections:
             await asyncio.sleep(0.0005)
     backend.arrivals.clear()
+    bed.forget_requests()
 
 
 def test_random_requests_are_read_like_the_reference_reader() -> None:
--- a/tests/test_framing_requests.py
+++ b/tests/test_framing_requests.py
@@ -94,6 +94,7 @@
             backend = await replace_backend(bed) if not texts else peers[0]
             peers[:] = [backend]
             backend.arrivals.clear()
+            bed.forget_requests()
             sent = delivery.then(LAST)
             _, text = await send(bed, sent)
             check_stream(sent.wire, read_answers(text), backend.arrivals)
--- a/tests/test_incident_returning_ids.py
+++ b/tests/test_incident_returning_ids.py
@@ -22,6 +22,7 @@
 WINDOW = 1.0  # seconds for which the backends of a cell drop a repeat
 SLACK = 0.05  # seconds, that of the protocol on sockets
 ROUNDS = 12
+OTHER_SEED = "0123456789abcdef"  # each start has a new one
 SIGN = RequestClass("sign", "by_key", 2.0, 5.0, "cell", WINDOW)  # each backend is a cell of its own
 LONG_SIGN = RequestClass("long-sign", "by_key", 2.0, 5.0, "cell", 10.0)
 PAY = RequestClass("pay", "once", 2.0, 5.0)
@@ -130,7 +131,8 @@
 
 async def upgrade(bed: SoakBed) -> GatewayProcess:
     """Starts a successor of the bed's gateway and waits until the gateway is handed over."""
-    successor = GatewayProcess(0, bed.folder / "gateway", bed.configuration(), port=bed.gateway.port)
+    configuration = bed.configuration(seed=OTHER_SEED)
+    successor = GatewayProcess(0, bed.folder / "gateway", configuration, port=bed.gateway.port)
     await successor.start()
     async with asyncio.timeout(SOON):
         while not bed.gateway.has_logged("handed over to", 0):
@@ -163,7 +165,7 @@
             for _, writer in clients:
                 writer.close()
             successor = successor or await upgrade(bed)
-            statuses = [await send_again(bed.gateway.port, name, klass) for name in names]
+            statuses = await asyncio.gather(*(send_again(bed.gateway.port, name, klass) for name in names))
             assert statuses == [200 if klass is LONG_SIGN else 502] * ROUNDS
             for name in names:
                 check(backends, name, klass)
