Begin no attempt for a client whose close could not be seen behind unread requests

Attempts began 0.15 to 0.25 s after a client had closed with much unread. Cause: the kernel accepts no close behind data for which it has no room, so neither POLLRDHUP nor an end of input tells of it. Now, where a quarter of the receive buffer is in use (SO_MEMINFO) and reading is paused, a client counts as there for 0.05 s after the last sign: the pause, a check with more room, or an answer written, which a closed client would reset. After that a waiting request of it is answered 503, or 502 where it may have run, and not sent. Open: a client that closes within a streamed body that waits for a connection.

--- a/embersill/control.py
+++ b/embersill/control.py
@@ -483,6 +483,11 @@
         return request_class is None or is_harmless(request_class) or not (
             key in self.open_calls or self.run_history.find(key) is not None)
 
+    def has_earlier_run(self, request: int) -> bool:
+        """Returns whether a request is one that comes again and may have run before."""
+        job = self.jobs.get(request)
+        return job is not None and job.earlier_run is not None
+
     def reject(self, request: Request, retry_after: float, reason: str) -> None:
         """Sends the final answer to a request that is not accepted."""
         self.given_up[reason] += 1
--- a/embersill/net/clients.py
+++ b/embersill/net/clients.py
@@ -30,7 +30,7 @@
 )
 from embersill.net.hold_ups import CHECK_INTERVAL, LoopStalls
 from embersill.net.memory import Account
-from embersill.net.tcp_info import seconds_since_data, unread_bytes
+from embersill.net.tcp_info import may_hide_close, seconds_since_data, unread_bytes
 from embersill.net.turns import LITTLE_DATA, MAX_SLICE, TURN_TIME, TurnQueue, next_slice_size
 
 MAX_HEAD = 32 * 1024  # bytes of request line and headers: browsers send at most about a quarter of it
@@ -47,6 +47,8 @@
 # Seconds between checks of connections that are not being read, for disconnects and for unread bytes: no
 # attempt may start 0.1 s or more after its client disconnected.
 UNREAD_CHECK_INTERVAL = 0.04
+# Seconds for which a client counts as still there, after the last sign of it, if its close can't be seen.
+HIDDEN_CLOSE_AFTER = 0.05
 WRITE_TIMEOUT = 10.0  # seconds that a client may leave its answers unread: longer than any request's budget
 SEND_BUFFER = 128 * 1024  # bytes of the kernel's send buffer: a larger one would hide slow readers
 LINGER = 1.0  # seconds for the peer to read the last answer before its connection is closed
@@ -282,6 +284,11 @@
             self.connection.abort_disconnected()
         return disconnected
 
+    def close_may_be_hidden(self) -> bool:
+        """True if the client may have disconnected unseen, behind requests that are not read yet."""
+        connection = self.connection
+        return connection.upload_exchange is not self and connection.close_may_be_hidden()
+
     def finish(self) -> None:
         """Ends a streamed answer after its last part."""
         self.done = True
@@ -337,6 +344,7 @@
         self.has_backend_request = history.served
         self.handing_over = False  # goes to the successor once its last answer is written
         self.last_read_at = self.write_blocked_at = self.read_paused_at = self.read_resumed_at = 0.0
+        self.seen_open_at = 0.0  # last sign that the client is there, while reading is paused
         self.bytes_read = self.bytes_parsed = 0
         self.read_size = 0  # bytes that the last read could take
         self.body_slice = MAX_SLICE  # bytes of a chunked body that are parsed at a time
@@ -577,6 +585,8 @@
     def observe_unread(self, now: float) -> None:
         """Records how many bytes wait to be read, and whether a streamed body may be complete with them."""
         if self.read_paused:
+            if not may_hide_close(self.socket):
+                self.seen_open_at = now
             self.arrivals.forget(self.bytes_parsed)
             self.arrivals.observe(now, self.bytes_read, unread_bytes(self.descriptor()), self.arrived_at)
         elif now - self.read_resumed_at >= CAUGHT_UP_AFTER and not unread_bytes(self.descriptor()):
@@ -786,7 +796,7 @@
             return
         self.read_paused, now = pause, self.server.clock()
         if pause:
-            self.read_paused_at = now
+            self.read_paused_at = self.seen_open_at = now
             self.transport.pause_reading()
             self.observe_unread(now)
             self.server.watch_unread(self)
@@ -826,6 +836,8 @@
                 break
             self.exchanges.popleft()
             self.transport.write(exchange.response or b"")
+            if self.read_paused:  # a client that has gone would reset the connection
+                self.seen_open_at = self.server.clock()
             if not exchange.keep_alive:
                 return self.close_gracefully()
         if self.transport is None:
@@ -988,6 +1000,11 @@
         return self.transport is None or self.transport.is_closing() or bool(
             closed_by_peer((self.descriptor(),)))
 
+    def close_may_be_hidden(self) -> bool:
+        """True if the kernel would not report a close, and there was no sign of the client for a while."""
+        return (self.read_paused and self.server.clock() - self.seen_open_at > HIDDEN_CLOSE_AFTER
+                and may_hide_close(self.socket))
+
     def can_be_evicted(self) -> bool:
         """True for an idle connection, and for one that only lingers after its last answer."""
         if self.closing:
--- a/embersill/net/driver.py
+++ b/embersill/net/driver.py
@@ -89,6 +89,8 @@
 
     def client_has_gone(self) -> bool: ...
 
+    def close_may_be_hidden(self) -> bool: ...
+
 
 class PendingRequest:
     """An accepted request, until it has its answer and all its attempts have ended."""
@@ -397,8 +399,18 @@
         """Returns True if the request has ended or its client has disconnected, even if not yet noticed."""
         if not pending.ended and pending.exchange.client_has_gone():
             self.on_client_disconnected(pending.request_id)  # the exchange may not know this id yet
+        if not pending.ended and pending.exchange.close_may_be_hidden():
+            self.end_unseen(pending)
         return pending.ended
 
+    def end_unseen(self, pending: PendingRequest) -> None:
+        """Answers a request whose client may have gone, so that no attempt begins for it."""
+        may_have_run = any(attempt.was_written for attempt in pending.attempts)
+        status = 502 if may_have_run or self.gateway.has_earlier_run(pending.request_id) else 503
+        self.finish(pending, status, b"", RETRY_SOON_HEADER, "its client may have gone")
+        self.post(ClientDisconnected(pending.request_id))
+        self.drop_if_done(pending)
+
     def cancel(self, action: Cancel) -> None:
         pending = self.pending.get(action.request)
         if pending is not None and action.attempt < len(pending.attempts):
