--- a/tests/incident_bed.py
+++ b/tests/incident_bed.py
@@ -9,6 +9,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass
+from typing import Any
 
 from embersill.lab.peers import read_message, response_bytes
 from embersill.lab.soak.backends import LOOPBACK_DEVICE, backend_address
@@ -118,13 +119,14 @@
 
 @asynccontextmanager
 async def incident_bed(
-    folder: pathlib.Path, backends: ScriptedBackends | None = None, deployment: Deployment = LEAST_LIMITS
+    folder: pathlib.Path, backends: ScriptedBackends | None = None, deployment: Deployment = LEAST_LIMITS,
+    **more: Any,
 ) -> AsyncIterator[SoakBed]:
-    """A gateway with scripted backends only."""
+    """A gateway with scripted backends only; `more` overrides keys of its configuration."""
     backends = backends or ScriptedBackends()
     await backends.start()
     try:
-        async with soak_bed(folder, 1, deployment) as bed:
+        async with soak_bed(folder, 1, deployment, **more) as bed:
             entries = [
                 backend_entry(f"s{n}", f"{backend_address(n)}:{backends.port}", n) for n in range(BACKENDS)]
             bed.agent.apply_changes([*entries, {**bed.entry("b0"), "lifecycle": "DELETED"}])
@@ -167,8 +169,11 @@
 class SoundClients:
     """Sends small sound requests at a steady rate, each on a connection of its own."""
 
-    def __init__(self, bed: SoakBed, interval: float = 0.05, budget: float = 3.0) -> None:
-        self.bed, self.interval, self.budget = bed, interval, budget
+    def __init__(
+        self, bed: SoakBed, interval: float = 0.05, budget: float = 3.0, spread: int = 1
+    ) -> None:
+        """`spread`: gateways that share the customer's quota."""
+        self.bed, self.interval, self.budget, self.spread = bed, interval, budget, spread
         self.latencies: list[float] = []  # of the answered ones, in seconds
         self.statuses: list[int] = []  # 0: no whole answer in time
         self.requests: set[asyncio.Task[None]] = set()
@@ -186,7 +191,8 @@
             async with asyncio.timeout(self.budget + ANSWER_LATENESS):
                 reader, writer = await self.bed.connect()
                 request = self.bed.make_request(f"sound-{number}", budget=self.budget)
-                writer.write(request.replace(b"00000000000000c1", b"00000000000000c2"))
+                request = request.replace(b"00000000000000c1", b"00000000000000c2")
+                writer.write(request.replace(b"spread=1", b"spread=%d" % self.spread))
                 status_line, _, _ = await read_message(reader)
                 status = int(status_line.split()[1])
                 self.latencies.append(time.monotonic() - begin)
--- a/tests/test_incident_shared_memory.py
+++ b/tests/test_incident_shared_memory.py
@@ -15,13 +15,14 @@
 
 import pytest
 
-from embersill.lab.peers import HOST, read_message, response_bytes
+from embersill.lab.peers import HOST, read_counter_call, read_message, response_bytes
 from embersill.lab.soak.gateway_process import GatewayProcess
 from tests.bed import run
 from tests.incident_bed import (
     LEAST_LIMITS, MEMORY_MB, MemoryWatch, Respond, ScriptedBackends, SoundClients, anonymous_memory_mb,
     incident_bed, respond_at_once,
 )
+from tests.peers import CounterPeer
 from tests.soak_bed import CHUNKED, SoakBed, signature_head
 
 STAY = 5.0  # seconds after which a peer leaves in any case
@@ -102,7 +103,7 @@
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter, headers: dict[str, str]
     ) -> None:
         writer.write(text)
-        if not text or text is UNFINISHED_ANSWER:
+        if not text or text in (UNFINISHED_ANSWER, UNFINISHED_HEAD):
             await asyncio.sleep(2 * STAY)
 
     return respond
@@ -115,6 +116,7 @@
 SHORT_FIELDS = b"GET / HTTP/1.1\r\n" + b"".join(b"%x:b\r\n" % number for number in range(3_500))
 LONG_FIELD = b"content-type: " + b"x" * HEAD_SIZE
 AHEAD = b"xx" + b"GET / HTTP/1.1\r\n\r\n" * SENT_AHEAD
+UNFINISHED_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: " + b"x" * 15_000
 NO_ANSWER = respond_with(b"")
 FORMS: dict[str, tuple[Client, Respond]] = {
     "slow bodies": (client_that_sends(lambda n: signature(n, LENGTH) + BODY, slowly=True), respond_at_once),
@@ -132,6 +134,8 @@
     "requests sent ahead": (client_that_sends(lambda n: signature(n, SHORT_LENGTH) + AHEAD), NO_ANSWER),
     "answers that stop": (
         client_that_sends(lambda n: signature(n, SHORT_LENGTH) + b"xx"), respond_with(UNFINISHED_ANSWER)),
+    "heads of answers that stop": (
+        client_that_sends(lambda n: signature(n, SHORT_LENGTH) + b"xx"), respond_with(UNFINISHED_HEAD)),
     "answers that are not read": (pipeline_unread, respond_with(response_bytes(200, BODY))),
     "long answers read slowly": (read_slowly, respond_with(response_bytes(200, LONG_BODY))),
 }
@@ -181,3 +185,30 @@
             await successor.wait()
 
     run(test)
+
+
+class EndlessCounter(CounterPeer):
+    """A counter whose reply never ends."""
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await read_counter_call(reader)
+        writer.write(b"$400000000\r\n")
+        while True:
+            writer.write(LONG_BODY)
+            await writer.drain()
+
+
+def test_a_reply_of_the_counter_that_never_ends_stays_within_the_memory_limit(tmp_path: pathlib.Path) -> None:
+    async def test() -> None:
+        counter = EndlessCounter()
+        await counter.start()
+        deployment = replace(LEAST_LIMITS, configured_gateways=2, rate=2.0, burst=4.0)
+        async with incident_bed(tmp_path, deployment=deployment, counter=counter.address) as bed:
+            watch, sound = MemoryWatch(bed), SoundClients(bed, spread=2)
+            await asyncio.sleep(STAY)
+            await sound.stop()
+            assert counter.connections
+            assert (watch.stop() <= MEMORY_MB, sound.lost) == (True, 0), watch.peak_mb
+        await counter.stop()
+
+    run(test)
