Drop a connection to the counter whose reply does not end

A counter that answers a call with a reply of 400 MB took a gateway to 98.4 MB where 32 are allowed: the parser holds an unfinished reply, and its connection was looked at only as the next call was made.

--- a/embersill/net/counter.py
+++ b/embersill/net/counter.py
@@ -19,6 +19,7 @@
 # stricter than float(), which also accepts nan and 1_0
 TOTAL_PATTERN = re.compile(rb"[+-]?\d{1,30}(\.\d{0,30})?([eE][+-]?\d{1,3})?")
 MAX_IDLE_TIME = 3.0  # seconds until an unused connection is replaced: the counter closes idle ones silently
+MAX_REPLY_SIZE = 16 * 1024  # bytes of an incomplete reply: a total takes less than 100
 
 
 class CounterCall:
@@ -43,6 +44,7 @@
         self.last_used_at = counter.clock()
         self.write_pending = self.is_closed = False
         self.reply_incomplete = False  # a part of a reply has arrived
+        self.incomplete_size = 0  # bytes of it
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's transport does not derive from it
@@ -82,11 +84,12 @@
     def data_received(self, data: bytes) -> None:
         self.reader.feed(data)
         self.reply_incomplete = True
+        self.incomplete_size += len(data)
         try:
             while (reply := self.reader.gets()) is not False:
                 if not self.written:
                     return self.close()  # a reply without a call: later replies can't be matched either
-                self.reply_incomplete = self.reader.has_data()
+                self.reply_incomplete, self.incomplete_size = self.reader.has_data(), 0
                 outcome, total = read_reply(reply)
                 self.counter.end_call(self.written.popleft(), outcome, total)
                 if outcome is Outcome.TIMED_OUT:
@@ -94,6 +97,8 @@
                     return self.close()
         except hiredis.ProtocolError:
             self.close()
+        if self.incomplete_size > MAX_REPLY_SIZE:
+            self.close()
 
     def eof_received(self) -> bool:
         return False
