Charge the unfinished heads of answers to the same memory

Up to 16 KiB for each connection to a backend were held without a charge: 6 MB for 384 connections. Where no memory is left such an attempt ends as a lost connection. Only computed: the test's form of it (heads of answers that stop) held before too.

--- a/embersill/net/backends.py
+++ b/embersill/net/backends.py
@@ -427,11 +427,16 @@
             self.pause_if_client_full()
 
     def update_charge(self) -> None:
-        """Charges what is held; an answer for which there is no memory is streamed."""
+        """Charges what is held; an answer for which there is no memory is streamed, or ends in its head."""
         held = 0 if self.sink is not None else len(self.body.data)
+        held += self.head_size if self.in_head else 0
         if self.write_pending and self.transport is not None and self.attempt is not None:
             held += self.transport.get_write_buffer_size() - len(self.attempt.body)
-        if not self.account.charge(held) and self.sink is None and self.status == 200 and not self.in_head:
+        if self.account.charge(held) or self.attempt is None or self.sink is not None:
+            return
+        if self.in_head and self.head_size > UNCHARGED_SIZE:
+            self.attempt.end(AttemptResult(Outcome.CONNECTION_LOST))
+        elif self.status == 200 and not self.in_head:
             self.start_streaming()
 
     def finish(self, attempt: Attempt) -> None:
