--- a/embersill/net/clients.py
+++ b/embersill/net/clients.py
@@ -6,30 +6,29 @@
 import errno
 import heapq
 import logging
-import re
 import socket
 import struct
 from collections import deque
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
-from functools import lru_cache
 from typing import cast
-from urllib.parse import unquote_to_bytes
 
 import httptools
 
-from embersill.interface import RepeatPolicy, Settings
+from embersill.interface import Settings
 from embersill.net.arrivals import CAUGHT_UP_AFTER, ArrivalLog
 from embersill.net.bodies import (
     MAX_BODY, READ_SIZE, STREAMING_THRESHOLD, ByteBuffer, Upload, closed_by_peer, is_readable,
 )
-from embersill.net.driver import ClientRequest, Driver
+from embersill.net.driver import Driver
+from embersill.net.exchange import Exchange
 from embersill.net.framing import (
     HEAD_END, BadFraming, Framing, FramingFields, HeadNormalizer, UnknownCoding, blank_line_end,
 )
 from embersill.net.hold_ups import CHECK_INTERVAL, LoopStalls
 from embersill.net.memory import Account
+from embersill.net.request_reader import BadRequest, RequestReader
 from embersill.net.tcp_info import may_hide_close, seconds_since_data, unread_bytes
 from embersill.net.turns import LITTLE_DATA, MAX_SLICE, TURN_TIME, TurnQueue, next_slice_size
 
@@ -61,28 +60,13 @@
     errno.EOPNOTSUPP, errno.ENETUNREACH, errno.ETIMEDOUT, errno.ECONNRESET, errno.EPERM))
 BACKLOG_DRAIN_TIMEOUT = 0.2  # seconds to accept queued connections at a stop: ample for a full backlog
 MAX_EVICTED = 16  # connections evicted at a time: in a flood, one at a time would not keep up
-LAST_CHUNK = b"0\r\n\r\n"  # ends a chunked body
 HANDOVER_RETRY_INTERVAL = 0.005  # seconds until a hand-over is retried: the last answer is still being sent
 ACCEPT_BATCH = 64  # connections accepted per loop iteration, so that established ones are served in between
 
-MAX_CACHED_HEADER = 128  # bytes
-CALL_ID = re.compile(rb"[0-9A-Za-z_.-]{1,64}")
-CLIENT_PARAMETER = re.compile(rb"[?&]client=([^&]*)")
-CUSTOMER_ID = re.compile(rb"0{7}[01][0-9A-Fa-f]{8}")  # 64-bit hexadecimal, below 2^33
-BUDGET = re.compile(rb"\d{1,6}(\.\d{1,30})?")  # seconds; a float printed in full has up to 17 decimals
-IDEMPOTENCY_KEY = re.compile(rb"[!-~]{1,256}")
-QUOTA_FIELDS = (b"units", b"spread", b"first")
-QUOTA_FIELD = re.compile(rb"\s*([a-z_]+)\s*=\s*(\d{1,9}(?:\.\d{1,9})?)\s*")
 SINGLE_HEADERS = frozenset((
     b"x-call-id", b"x-call-class", b"plan", b"x-budget", b"idempotency-key", b"quota-info", b"x-again",
     b"content-length", b"host", b"transfer-encoding", b"expect"))
 KEPT_HEADERS = SINGLE_HEADERS | {b"content-type"}  # all others have no meaning for the gateway
-REASON_PHRASES = {
-    200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout",
-    413: b"Content Too Large", 417: b"Expectation Failed", 429: b"Too Many Requests",
-    431: b"Request Header Fields Too Large", 501: b"Not Implemented", 502: b"Bad Gateway",
-    503: b"Service Unavailable", 504: b"Gateway Timeout",
-}
 
 UNAVAILABLE_RESPONSE = (
     b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.05\r\nConnection: close\r\n"
@@ -91,226 +75,6 @@
 log = logging.getLogger("embersill")
 
 
-class BadRequest(Exception):
-    """A client's request is malformed or not allowed; carries the error answer's status, text and headers."""
-
-    def __init__(self, status: int, text: str, headers: bytes = b"") -> None:
-        super().__init__(text)
-        self.status, self.headers = status, headers
-
-
-def read_quota_info(text: bytes) -> tuple[float, int, int]:
-    """The units, spread and first of a Quota-Info header; raises BadRequest if it is malformed.
-
-    Short ones are cached, since clients send few different values. A long one may fill a head.
-    """
-    return cached_quota_info(text) if len(text) <= MAX_CACHED_HEADER else parse_quota_info(text)
-
-
-@lru_cache(maxsize=4096)
-def cached_quota_info(text: bytes) -> tuple[float, int, int]:
-    """As parse_quota_info."""
-    return parse_quota_info(text)
-
-
-def parse_quota_info(text: bytes) -> tuple[float, int, int]:
-    """As read_quota_info, without the cache."""
-    values: dict[bytes, float] = {}
-    for field in text.split(b","):
-        if field.partition(b"=")[0].strip() not in QUOTA_FIELDS:
-            continue  # unknown fields are ignored
-        match = QUOTA_FIELD.fullmatch(field)
-        if match is None or match[1] in values:
-            raise BadRequest(400, "Quota-Info is not in its form")
-        values[match[1]] = float(match[2])
-    try:
-        units, gateway_count, first = values[b"units"], values[b"spread"], values[b"first"]
-    except KeyError as error:
-        raise BadRequest(400, "Quota-Info lacks units, spread or first") from error
-    if units <= 0 or gateway_count < 1 or not (gateway_count.is_integer() and first.is_integer()):
-        raise BadRequest(400, "Quota-Info has no units or no whole gateways")
-    return units, int(gateway_count), int(first)
-
-
-def header_encodings(name: str) -> list[bytes]:
-    """The encodings in which a header may carry a name from the settings: UTF-8, and Latin-1 if possible."""
-    latin_1 = name.encode("latin-1", "replace")
-    return [name.encode(), latin_1] if latin_1.decode("latin-1") == name else [name.encode()]
-
-
-class RequestReader:
-    """Validates parsed requests against the settings' classes and plans, and builds the driver's calls.
-
-    Methods raise BadRequest for what a request lacks or has wrong.
-    """
-
-    def __init__(self, settings: Settings) -> None:
-        self.classes = {encoded: c for c in settings.classes for encoded in header_encodings(c.name)}
-        self.plans = {encoded: p.name for p in settings.plans for encoded in header_encodings(p.name)}
-        self.gateways, self.max_units = settings.gateways, settings.max_units
-
-    def read(self, received: float, method: bytes, target: bytes, headers: dict[bytes, bytes],
-             body: bytes, upload: Upload | None = None) -> ClientRequest:
-        customer = self.customer(target)
-        request_class = self.classes.get(self.required(headers, b"x-call-class"))
-        if request_class is None:
-            raise BadRequest(400, "X-Call-Class names no class")
-        expected_method = b"GET" if request_class.repeat_policy is RepeatPolicy.SAFE else b"POST"
-        if method != expected_method:
-            raise BadRequest(405, "the class goes by another method", b"Allow: %b\r\n" % expected_method)
-        plan = self.plans.get(self.required(headers, b"plan"))
-        if plan is None:
-            raise BadRequest(400, "Plan names no plan")
-        if (body or upload is not None) and method == b"GET":
-            raise BadRequest(400, "a GET with a body")
-        units, gateway_count, first = read_quota_info(self.required(headers, b"quota-info"))
-        if gateway_count > self.gateways or first >= self.gateways or units > self.max_units:
-            raise BadRequest(400, "Quota-Info has more units or gateways than there are")
-        return ClientRequest(
-            received_at=received, budget=float(self.required_match(headers, b"x-budget", BUDGET)),
-            request_class=request_class.name, plan=plan, customer=customer, units=units,
-            gateway_count=gateway_count, first_gateway=first, repeat=headers.get(b"x-again") == b"1",
-            head=self.backend_head(
-                method, target, headers, request_class.repeat_policy,
-                upload.framing_header if upload is not None else b"Content-Length: %d" % len(body)),
-            body=body, upload=upload, call_id=headers[b"x-call-id"].decode("ascii"),
-        )
-
-    def backend_head(self, method: bytes, target: bytes, headers: dict[bytes, bytes],
-                     repeat_policy: RepeatPolicy, framing_header: bytes) -> bytes:
-        """The request line and headers for a backend, without the budget, which is added for each attempt."""
-        lines = [b"%b %b HTTP/1.1" % (method, target), b"Host: %b" % headers.get(b"host", b"backend.local"),
-                 b"X-Call-Id: %b" % self.required_match(headers, b"x-call-id", CALL_ID)]
-        if repeat_policy is RepeatPolicy.BY_KEY:
-            lines.append(b"Idempotency-Key: %b" % self.required_match(
-                headers, b"idempotency-key", IDEMPOTENCY_KEY))
-        elif b"idempotency-key" in headers:
-            raise BadRequest(400, "Idempotency-Key on a class that carries none")
-        if method != b"GET":
-            lines.append(framing_header)
-            if b"content-type" in headers:
-                lines.append(b"Content-Type: %b" % headers[b"content-type"])
-        return b"\r\n".join((*lines, b""))
-
-    def customer(self, target: bytes) -> str:
-        """The customer's id in the target's `client` parameter, in lower case."""
-        values: list[bytes] = CLIENT_PARAMETER.findall(target)
-        customer = unquote_to_bytes(values[0]) if len(values) == 1 else b""
-        if not CUSTOMER_ID.fullmatch(customer):
-            raise BadRequest(400, "client is not 16 hex digits below 2^33")
-        return customer.decode().lower()
-
-    def required(self, headers: dict[bytes, bytes], name: bytes) -> bytes:
-        """The value of a header that must be present and not empty."""
-        value = headers.get(name)
-        if not value:
-            raise BadRequest(400, f"no {name.decode().title()}")
-        return value
-
-    def required_match(self, headers: dict[bytes, bytes], name: bytes, pattern: re.Pattern[bytes]) -> bytes:
-        """The value of a required header, all of which must match the pattern."""
-        value = self.required(headers, name)
-        if not pattern.fullmatch(value):
-            raise BadRequest(400, f"{name.decode().title()} is not in its form")
-        return value
-
-
-class Exchange:
-    """One request on a connection and its answer, which is written after the answers to earlier requests.
-
-    A streamed answer takes begin(), write() for each part, and finish() or abort(); a complete one takes
-    answer() alone.
-    """
-
-    __slots__ = (
-        "streaming", "aborted", "chunked", "connection", "done", "keep_alive", "number", "on_writable",
-        "response", "unwritten", "unwritten_head",
-    )
-
-    def __init__(self, connection: ClientConnection, keep_alive: bool) -> None:
-        self.connection, self.keep_alive = connection, keep_alive
-        self.number = 0  # the driver's number of the request; 0 until the driver accepts it
-        self.response: bytes | None = None  # the complete answer, if it is not streamed
-        self.unwritten_head, self.unwritten = b"", ByteBuffer()  # of a streamed answer; the body unframed
-        self.streaming = self.done = self.aborted = self.chunked = False
-        self.on_writable: Callable[[], None] | None = None
-
-    def begin(self, headers: bytes, length: int | None) -> Exchange:
-        """Starts a streamed answer with status 200; `length` is None where the body's size is not known."""
-        connection = self.connection
-        self.streaming, self.chunked = True, length is None and connection.is_http_1_1
-        framing = b"Content-Length: %d\r\n" % length if length is not None else b""
-        if self.chunked:
-            framing = b"Transfer-Encoding: chunked\r\n"
-        self.keep_alive = self.keep_alive and not connection.close_after_if_stopping(self) and bool(framing)
-        close = b"" if self.keep_alive else b"Connection: close\r\n"
-        self.unwritten_head = b"HTTP/1.1 200 OK\r\n%b%b%b\r\n" % (headers, close, framing)
-        return self
-
-    def write(self, data: bytes) -> bool:
-        """Writes a part of the body, or buffers it behind earlier answers; False if it would buffer more."""
-        if data:
-            self.unwritten.add(data)
-        self.connection.flush()
-        exchanges = self.connection.exchanges
-        return bool(exchanges) and exchanges[0] is self and self.has_space()
-
-    def has_space(self) -> bool:
-        """True while more of a streamed answer may be buffered."""
-        return len(self.unwritten.data) < self.connection.server.memory.stream_buffer
-
-    def has_room_for(self, size: int) -> bool:
-        """True if an answer of `size` bytes can be written at once, or held until it can be."""
-        connection = self.connection
-        is_next = bool(connection.exchanges) and connection.exchanges[0] is self
-        return is_next and not connection.write_blocked or connection.server.memory.has_room(size)
-
-    def held_bytes(self) -> int:
-        """Bytes of the answer that are not written yet."""
-        return len(self.unwritten) + (len(self.response) if self.response is not None else 0)
-
-    def take_unwritten(self) -> bytes:
-        """Removes and returns what is to be written next of a streamed answer, in its framing."""
-        head, body = self.unwritten_head, self.unwritten.take()
-        self.unwritten_head = b""
-        if self.chunked:
-            body = (b"%x\r\n%b\r\n" % (len(body), body) if body else b"") + (LAST_CHUNK if self.done else b"")
-        return head + body
-
-    def client_has_gone(self) -> bool:
-        """True if the client has disconnected; asks the kernel, as the loop may not have reported it yet."""
-        disconnected = self.connection.is_disconnected()
-        if disconnected:
-            self.connection.abort_disconnected()
-        return disconnected
-
-    def close_may_be_hidden(self) -> bool:
-        """True if the client may have disconnected unseen, behind requests that are not read yet."""
-        connection = self.connection
-        return connection.upload_exchange is not self and connection.close_may_be_hidden()
-
-    def finish(self) -> None:
-        """Ends a streamed answer after its last part."""
-        self.done = True
-        self.connection.flush()
-
-    def abort(self) -> None:
-        """Ends a streamed answer that is incomplete: the connection is reset, so that the client can tell."""
-        self.aborted = True
-        self.connection.flush()
-
-    def answer(self, status: int, body: bytes, headers: bytes = b"") -> None:
-        """Sends a complete answer, unless the request already has one."""
-        if self.response is not None:
-            return
-        self.keep_alive = self.keep_alive and not (
-            self.connection.close_after_if_stopping(self) or self.connection.is_uploading(self))
-        self.response = b"HTTP/1.1 %d %b\r\n%b%bContent-Length: %d\r\n\r\n%b" % (
-            status, REASON_PHRASES[status], headers, b"" if self.keep_alive else b"Connection: close\r\n",
-            len(body), body)
-        self.connection.flush()
-
-
 @dataclass(frozen=True, slots=True)
 class ConnectionHistory:
     """What a connection has received at the process that hands it over to its successor.
--- a/tests/test_other_deployments.py
+++ b/tests/test_other_deployments.py
@@ -19,7 +19,7 @@
     PoolSettings, Refuse, RepeatPolicy, Request, RequestClass, Restore, Send, SetTimer, Settings,
     SettingsChanged, StreamStarted, Suspend, TimerExpired,
 )
-from embersill.net.clients import RequestReader
+from embersill.net.request_reader import RequestReader
 from embersill.net.counter import read_reply
 from embersill.net.listing import read_listing
 from embersill.net.driver import ClientRequest
