Free what a closed connection held at once, without the garbage collector

What callers saw: a process that hundreds of peers left and came back to was killed at its memory limit.

Cause: a closed connection, its request, its body and its attempts referred to each other in cycles, so that they stayed until the third generation of the garbage collector was due: the parsers' callbacks, a streamed body's callback, a request's attempts with their closures, timers, and above all an error that was kept with its traceback, whose ten frames held 64 KB of input each. The charge was 0 by then.

Change: each cycle is cut at its end: errors are kept without a traceback, a closed connection frees its parser, body and timers, a request that is done its attempts, and the timer of late answers knows a number in place of the attempt.

--- a/embersill/net/backends.py
+++ b/embersill/net/backends.py
@@ -101,6 +101,7 @@
         self.ended = True
         if self.timer is not None:
             self.timer.cancel()
+            self.timer = None
         if self.pool is not None:
             self.pool.withdraw(self)
         if self.upload is not None:
@@ -144,8 +145,7 @@
         self.buffer = dialer.buffer  # what the next read goes into
         self.account = Account(dialer.memory)
         self.yielding = False  # nothing is read until the next iteration of the loop
-        self.parser = httptools.HttpResponseParser(self)
-        self.feeder = AnswerFeeder(self.parser.feed_data)
+        self.requests_sent = 0
         self.reset_answer()
 
     def reset_answer(self) -> None:
@@ -153,7 +153,6 @@
         self.body = ByteBuffer()  # what was received of it, without what was passed on to the sink
         self.size, self.units, self.headers, self.status = 0, 0.0, b"", 0
         self.in_head, self.head_size, self.trailer_size = True, 0, 0
-        self.feeder.start()
         self.fields = FramingFields()
         self.length: int | None = None  # of the answer's body, where its head says
         self.ends_at_close = self.body_unwanted = self.paused = self.invalid_framing = False
@@ -163,6 +162,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's transport does not derive from it
+        self.parser = httptools.HttpResponseParser(self)
+        self.feeder = AnswerFeeder(self.parser.feed_data)
         # without a buffer above the kernel's, pause_writing means that the request is not completely written
         self.transport.set_write_buffer_limits(high=0)
 
@@ -210,7 +211,9 @@
             self.pool.release(self)
             return attempt.end(AttemptResult(Outcome.NOT_SENT))
         self.attempt, attempt.connection, attempt.was_written = attempt, self, True
+        self.requests_sent += 1
         self.reset_answer()
+        self.feeder.start()
         self.fully_written, self.last_progress_at = False, self.pool.clock()
         head = b"%bX-Budget: %.3f\r\n\r\n" % (attempt.head, wait)
         if len(attempt.body) <= UNCHARGED_SIZE:
@@ -298,7 +301,7 @@
         if (self.length or 0) > STREAMING_THRESHOLD:
             self.start_streaming()
         elif self.length is None:
-            self.dialer.loop.call_later(STREAM_AFTER, self.stream_late_answer, self.attempt)
+            self.dialer.loop.call_later(STREAM_AFTER, self.stream_late_answer, self.requests_sent)
 
     def on_body(self, body: bytes) -> None:
         if self.complete or self.invalid_framing:
@@ -310,9 +313,11 @@
             self.body_unwanted = self.body_unwanted or self.status != 200
             self.start_streaming()
 
-    def stream_late_answer(self, attempt: Attempt | None) -> None:
-        """Streams an answer of unknown length that is not complete yet."""
-        if self.attempt is attempt and self.sink is None and not self.complete:
+    def stream_late_answer(self, number: int) -> None:
+        """Streams the answer to the request of this number on the connection, if it is not complete yet."""
+        if self.attempt is None or self.requests_sent != number:
+            return
+        if self.sink is None and not self.complete:
             self.start_streaming()
             self.pass_on()
             self.pause_if_client_full()
@@ -321,7 +326,7 @@
         """Streams an answer that has begun and may be long; False if there is none."""
         may_be_long = self.status == 200 and self.length is None and not self.invalid_framing
         if may_be_long and self.attempt is not None:
-            self.stream_late_answer(self.attempt)
+            self.stream_late_answer(self.requests_sent)
         return self.sink is not None
 
     def start_streaming(self) -> None:
@@ -479,7 +484,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         attempt, self.attempt, self.transport = self.attempt, None, None
-        self.account.charge(0)
+        self.release()
         if self.connect_task is None:
             self.pool.connection_closed(self)
         if attempt is not None:
@@ -489,6 +494,12 @@
             attempt.end(AttemptResult(
                 Outcome.CONNECTION_LOST if self.fully_written else Outcome.NO_CONNECTION))
 
+    def release(self) -> None:
+        """Frees what the closed connection holds, without waiting for the garbage collector."""
+        self.account.charge(0)
+        self.body, self.sink = ByteBuffer(), None
+        del self.parser, self.feeder  # which refer to this object
+
 
 def read_units(value: bytes) -> float:
     """The units of a Billed-Units field; 0 where it is not a decimal number in range."""
--- a/embersill/net/clients.py
+++ b/embersill/net/clients.py
@@ -129,6 +129,7 @@
         self.body_remaining: int | None = None  # bytes of the body not yet received; None for a chunked body
         self.body_tail = b""  # the last bytes received of the body, which may be part of a blank line
         self.close_reason = ""  # for the trace
+        self.linger_timer: asyncio.TimerHandle | None = None
         self.reset_request()
 
     def reset_request(self) -> None:
@@ -217,7 +218,7 @@
             call = server.request_reader.read(
                 self.written_at(), method, self.target, self.headers, b"", upload)
         except BadRequest as error:
-            self.request_error = error
+            self.request_error = error.without_traceback()
             return
         if self.body:
             upload.feed(self.body.take())
@@ -271,12 +272,13 @@
         exchange = Exchange(self, keep_alive)
         self.exchanges.append(exchange)
         self.input_ended = not keep_alive
-        try:
-            if self.request_error is not None:
-                raise self.request_error
-            self.route(exchange)
-        except BadRequest as error:
-            self.send_error(exchange, error)
+        if self.request_error is not None:
+            self.send_error(exchange, self.request_error)
+        else:
+            try:
+                self.route(exchange)
+            except BadRequest as error:
+                self.send_error(exchange, error)
         self.release_request()
 
     def send_error(self, exchange: Exchange, error: BadRequest) -> None:
@@ -677,7 +679,7 @@
                 self.read_paused = False
             self.unparsed = b""
             self.transport.write_eof()
-            asyncio.get_running_loop().call_later(LINGER, self.transport.close)
+            self.linger_timer = self.server.loop.call_later(LINGER, self.transport.close)
 
     def close_now(self, reason: str) -> None:
         """Closes at once a connection with no request in progress."""
@@ -716,7 +718,19 @@
         self.server.on_connection_closed(self)
         self.transport = None
         self.on_client_disconnected()
-        self.unparsed = b""
+        self.release()
+
+    def release(self) -> None:
+        """Frees what the closed connection holds, without waiting for the garbage collector.
+
+        The parser refers to this object, as a streamed body does.
+        """
+        if self.linger_timer is not None:
+            self.linger_timer.cancel()
+        self.reset_request()
+        self.unparsed = self.body_tail = b""
+        self.head_normalizer = None
+        del self.parser
         self.account.charge(0)
 
     def close_after_if_stopping(self, exchange: Exchange) -> bool:
--- a/embersill/net/driver.py
+++ b/embersill/net/driver.py
@@ -468,6 +468,7 @@
         self.unanswered -= 1
         if pending.guard_timer is not None:
             pending.guard_timer.cancel()
+            pending.guard_timer = None
         if len(body) > UNCHARGED_SIZE and not pending.exchange.has_room_for(len(body)):
             status, body, headers, reason = 502, b"", b"", "no memory for the answer"
         if status:
@@ -489,6 +490,7 @@
         if pending.ended and not pending.attempts_in_flight:
             if pending.account is not None:
                 pending.account.charge(0)
+            pending.attempts.clear()  # they refer to the request
             self.pending.pop(pending.request_id, None)
 
     def fail_unanswered(self, pending: PendingRequest) -> None:
--- a/embersill/net/request_reader.py
+++ b/embersill/net/request_reader.py
@@ -27,6 +27,10 @@
         super().__init__(text)
         self.status, self.headers = status, headers
 
+    def without_traceback(self) -> BadRequest:
+        """The same error, to be kept: a traceback would keep all frames and what they hold."""
+        return BadRequest(self.status, str(self), self.headers)
+
 
 def read_quota_info(text: bytes) -> tuple[float, int, int]:
     """The units, spread and first of a Quota-Info header; raises BadRequest if it is malformed.
