Read the memory that the kernel counts, and act on it before the limit is reached

What callers saw: a process was killed at its memory limit while the sum that the gateway charges was far below its budget.

Cause: nothing tied the two together. The budget bounds bytes held for peers; objects, the allocator's free memory, pipelined requests (3 KB each, 16 a connection) and whatever is not charged are bounded by nothing.

From 70% of the limit on free memory is returned and the budget shrinks to nothing at 85%, where incomplete requests give way, the costliest first; from 90% on the number of connections does not grow. Pipelined requests are charged, and fewer are allowed as the budget shrinks. Two processes of an upgrade tell each other what they have, each 0.1 s, and the old one leaves 16 MB from the moment a successor connects. The figures' line and METRICS have the memory and the charge.

Console and log tests expect the new figures; they are as strict.

--- a/embersill/__main__.py
+++ b/embersill/__main__.py
@@ -29,6 +29,8 @@
 from embersill.net.lameduck import LameDuck
 from embersill.net.list_feed import SLICE_ENTRIES, list_decoder
 from embersill.net.memory import MB, plan_budget
+from embersill.net.overload import OverloadManager
+from embersill.net.process_memory import ProcessMemory
 from embersill.net.listing import Address, InvalidList, Listing, read_address, read_addresses, read_listing
 from embersill.net.listening import open_listener
 from embersill.net.trace import make_trace
@@ -205,9 +207,15 @@
         if len(configuration.discovery) > 1:
             self.driver.list_age = self.discovery.list_age
         self.front = ClientServer(self.driver, configuration.settings, clock, clients, self.can_serve)
+        self.process_memory = ProcessMemory()
+        self.overload = OverloadManager(
+            self.memory, configuration.memory_mb * MB, self.front, self.driver.figures.other_counts,
+            self.process_memory)
+        self.front.overload = self.driver.overload = self.overload
         self.stop_requested = asyncio.Event()  # by a signal, or as the lame duck period has ended
         self.lame_duck = LameDuck(clock, self.front, self.stop_requested.set)
-        self.handover = Handover(configuration.state_directory, self.driver, self.front, self.lame_duck)
+        self.handover = Handover(
+            configuration.state_directory, self.driver, self.front, self.lame_duck, self.overload)
         longest = max((c.deadline for c in configuration.settings.classes), default=MAX_COUNTED_DEADLINE)
         self.stop_timeout = min(longest, MAX_COUNTED_DEADLINE) + KILL_DELAY - KILL_MARGIN
         self.listen_address, self.console_address = configuration.listen, configuration.console
@@ -453,6 +461,8 @@
         await asyncio.gather(
             self.front.wait_flushed(FINAL_WRITE_TIMEOUT), self.driver.flush_counts(FINAL_WRITE_TIMEOUT))
         self.front.close()
+        self.overload.close()
+        self.process_memory.close()
         if self.discovery_task is not None:
             self.discovery_task.cancel()
             self.discovery.disconnect()
--- a/embersill/net/clients.py
+++ b/embersill/net/clients.py
@@ -27,13 +27,13 @@
     HEAD_END, BadFraming, Framing, FramingFields, HeadNormalizer, UnknownCoding, blank_line_end,
 )
 from embersill.net.hold_ups import CHECK_INTERVAL, LoopStalls
-from embersill.net.memory import Account
+from embersill.net.memory import MAX_PIPELINED, REQUEST_MEMORY, Account
+from embersill.net.overload import OverloadManager
 from embersill.net.request_reader import BadRequest, RequestReader
 from embersill.net.tcp_info import may_hide_close, seconds_since_data, unread_bytes
 from embersill.net.turns import LITTLE_DATA, MAX_SLICE, TURN_TIME, TurnQueue, next_slice_size
 
 MAX_HEAD = 32 * 1024  # bytes of request line and headers: browsers send at most about a quarter of it
-MAX_PIPELINED = 16  # requests in progress on one connection; further ones are not parsed
 HEAD_READ_SIZE = 16 * 1024  # bytes read at a time outside bodies, while connections wait for their turns
 HEAD_SLICE = 8192  # bytes parsed at a time outside bodies
 REQUESTS_PER_SLICE = 16  # that are parsed at a time
@@ -59,6 +59,7 @@
     errno.ECONNABORTED, errno.EPROTO, errno.ENOPROTOOPT, errno.EHOSTDOWN, errno.ENONET, errno.EHOSTUNREACH,
     errno.EOPNOTSUPP, errno.ENETUNREACH, errno.ETIMEDOUT, errno.ECONNRESET, errno.EPERM))
 BACKLOG_DRAIN_TIMEOUT = 0.2  # seconds to accept queued connections at a stop: ample for a full backlog
+ACCEPTS_PER_CHECK = 32  # connections accepted after which the memory is read
 MAX_EVICTED = 16  # connections evicted at a time: in a flood, one at a time would not keep up
 HANDOVER_RETRY_INTERVAL = 0.005  # seconds until a hand-over is retried: the last answer is still being sent
 ACCEPT_BATCH = 64  # connections accepted per loop iteration, so that established ones are served in between
@@ -93,8 +94,8 @@
 class ClientConnection(asyncio.BufferedProtocol):
     """One client connection: reads requests and writes the answers in the same order.
 
-    Requests may be pipelined. Reading stops while MAX_PIPELINED of them are in progress, while a streamed
-    body waits for its backend, and while the client does not read its answers.
+    Requests may be pipelined. Reading stops while as many as allowed of them are in progress, while a
+    streamed body waits for its backend, and while the client does not read its answers.
     """
 
     def __init__(self, server: ClientServer, sock: socket.socket, history: ConnectionHistory) -> None:
@@ -405,7 +406,7 @@
                 self.await_turn()
                 break
         # most requests are received whole at once, and nothing is held of them here
-        if self.unparsed or self.in_request or self.account.charged:
+        if self.unparsed or self.in_request or self.account.charged or len(self.exchanges) > 1:
             self.update_charge()
         self.update_reading()
         if self.body_written_at is not None:
@@ -421,6 +422,8 @@
             held += len(self.upload.buffer.data)
         for exchange in self.exchanges:
             held += exchange.held_bytes()
+        if len(self.exchanges) > 1:
+            held += (len(self.exchanges) - 1) * REQUEST_MEMORY
         if self.write_blocked and self.transport is not None:
             held += self.transport.get_write_buffer_size()
         return held
@@ -544,6 +547,14 @@
         if is_waiting and self.body.data and now - self.last_read_at > STALLED_AFTER:
             self.refuse_request()
 
+    def is_incomplete(self) -> bool:
+        """True while a request is received that is not passed on yet."""
+        return self.in_request and self.upload is None and not self.input_ended
+
+    def can_give_way(self) -> bool:
+        """True if refusing the request that is received would free memory."""
+        return self.is_incomplete() and not self.parsing and bool(self.account.charged) and not self.refused
+
     def history(self) -> ConnectionHistory:
         """What a successor has to know about this connection."""
         awaited_for = 0.0 if self.has_received_request else self.server.clock() - self.awaiting_since
@@ -553,7 +564,8 @@
         """True while an upload's buffer, the client's unread answers or the pipeline are at their limit."""
         if self.upload is not None and self.upload.full:
             return True
-        return self.write_blocked or len(self.exchanges) >= MAX_PIPELINED
+        most = self.server.memory.max_pipelined if self.upload is None else MAX_PIPELINED
+        return self.write_blocked or len(self.exchanges) >= most
 
     def update_reading(self) -> None:
         """Pauses or resumes reading, so that a client cannot fill the memory with requests."""
@@ -810,6 +822,8 @@
         self.loop = asyncio.get_running_loop()
         self.listener: socket.socket | None = None
         self.accept_retry: asyncio.Handle | None = None
+        self.overload: OverloadManager | None = None
+        self.accepted = 0  # connections since the memory was last read
         self.stopping = False
         self.lame_duck = False  # serves all requests, but answers /ready with 503
         # Hands a connection over to the successor, if there is one; returns False if it could not be sent.
@@ -854,6 +868,8 @@
         self.check_timer = self.loop.call_later(CHECK_INTERVAL, self.check_connections)
         now = self.clock()
         self.driver.loop_lag.record(self.loop_stalls.record_check(now))
+        if self.overload is not None:
+            self.overload.measure()
         for connection in list(self.connections):
             connection.check_timeouts(now)
             if self.memory.is_exhausted:
@@ -931,6 +947,14 @@
             failures = 0
             sock.setblocking(False)
             self.start_connection(sock)
+            self.count_accepted()
+
+    def count_accepted(self) -> None:
+        """Reads the memory after every ACCEPTS_PER_CHECK connections, which come faster than the checks."""
+        self.accepted += 1
+        if self.overload is not None and self.accepted >= ACCEPTS_PER_CHECK:
+            self.accepted = 0
+            self.overload.measure()
 
     async def set_up_connection(self, sock: socket.socket, history: ConnectionHistory) -> None:
         """Creates the transport and protocol of an accepted socket."""
@@ -950,14 +974,38 @@
         with suppress(OSError):
             sock.close()
 
+    def connection_count(self) -> int:
+        """Connections of this process, with those that are being set up."""
+        return len(self.connections) + len(self.setting_up)
+
     def has_capacity(self) -> bool:
-        """True if there are fewer connections than max_connections."""
-        return len(self.connections) + len(self.setting_up) + self.held_by_predecessor < self.max_connections
+        """True if there are fewer connections than max_connections, and than the memory allows."""
+        count = self.connection_count()
+        limit = self.max_connections
+        if self.overload is not None and self.overload.connection_limit is not None:
+            limit = min(limit, self.overload.connection_limit + self.held_by_predecessor)
+        return count + self.held_by_predecessor < limit
 
     def has_waiting_connection(self) -> bool:
         """True if a connection is waiting to be accepted."""
         return is_readable(cast(socket.socket, self.listener))
 
+    def shed(self, size: int) -> None:
+        """Frees what incomplete requests hold, the costliest first, until `size` bytes are freed."""
+        holders = [c for c in self.connections if c.can_give_way()]
+        for connection in sorted(holders, key=lambda c: c.account.charged, reverse=True):
+            if size <= 0:
+                return
+            size -= connection.account.charged
+            connection.refuse_request()
+
+    def end_incomplete(self) -> None:
+        """Ends requests that have been incomplete for longest, where memory is short and nobody is idle."""
+        incomplete = [c for c in self.connections if c.is_incomplete()]
+        for connection in heapq.nsmallest(MAX_EVICTED, incomplete, lambda c: c.awaiting_since):
+            self.driver.figures.other_counts["ended for memory"] += 1
+            connection.fail_request(503, "no memory for the request")
+
     def evict_idle(self) -> None:
         """Closes connections without a request in progress, to accept waiting ones.
 
@@ -965,11 +1013,19 @@
         MAX_EVICTED at a time, as they may arrive in floods. Otherwise the longest idle client's is closed.
         """
         idle = [c for c in self.connections if c.can_be_evicted()]
+        if not idle and self.is_frozen:
+            return self.end_incomplete()
         preferred = [c for c in idle if c.closing or not c.has_backend_request]
         count = MAX_EVICTED if preferred else 1
         for connection in heapq.nsmallest(count, preferred or idle, lambda c: (not c.closing, c.idle_since)):
             if connection.closing or not connection.has_unread_data():  # unread data may be a request
                 connection.close_now("it made way for another")
+        return None
+
+    @property
+    def is_frozen(self) -> bool:
+        """True while no more connections are held than there are, as memory is short."""
+        return self.overload is not None and self.overload.connection_limit is not None
 
     def delay_accepting(self) -> None:
         """Stops accepting for ACCEPT_RETRY_INTERVAL; connections wait in the kernel's queue."""
--- a/embersill/net/driver.py
+++ b/embersill/net/driver.py
@@ -29,7 +29,8 @@
 from embersill.net.counter import CounterClient
 from embersill.net.listing import Listing
 from embersill.net.figures import Figures
-from embersill.net.memory import UNCHARGED_SIZE, Account, MemoryBudget
+from embersill.net.memory import MB, UNCHARGED_SIZE, Account, MemoryBudget
+from embersill.net.overload import OverloadManager
 from embersill.net.trace import LoopLag, Trace
 
 # Seconds between the deadline of the decision module and the end of the client's budget: the budget runs from
@@ -143,6 +144,7 @@
         self.handling = False
         self.figures, self.loop_lag = Figures(gateway.classes), LoopLag()
         self.trace: Trace | None = None
+        self.overload: OverloadManager | None = None
         self.list_figures: Tally[str] = Tally()
         self.list_age: Callable[[], float] | None = None  # in seconds; set if discovery has several addresses
         self.report_timer = self.loop.call_later(REPORT_INTERVAL, self.log_figures)
@@ -511,18 +513,27 @@
             listed, down = len(self.gateway.servers), self.gateway.count_unavailable()
             age = f", list {self.list_age():.0f} s old" if self.list_age else ""
             connections, idle = len(self.pool.connections), self.pool.idle_count()
-            log.info("%s; open %d, connections %d, idle %d, listed %d, down %d%s",
-                     text, self.unanswered, connections, idle, listed, down, age)
+            log.info("%s; open %d, connections %d, idle %d, listed %d, down %d%s%s",
+                     text, self.unanswered, connections, idle, listed, down, age, self.memory_figures())
         self.gateway.given_up.clear()
 
+    def memory_figures(self) -> str:
+        """The memory for the log line: of the process, and charged for peers."""
+        if self.overload is None:
+            return ""
+        return f", memory {self.overload.anonymous / MB:.1f} MB, charged {self.memory.used / MB:.1f} MB"
+
     def metrics(self) -> str:
         """Returns the present figures as JSON, for the console."""
         more = {"list_age_s": round(self.list_age())} if self.list_age else {}
+        if self.overload is not None:
+            more["memory_bytes"] = self.overload.anonymous
         pool = {name.replace(" ", "_"): number for name, number in sorted(self.pool.figures.items())}
         return self.figures.to_json(
             backend_calls=self.dialer.attempts_written, inflight=self.unanswered,
             hosts_listed=len(self.gateway.servers), hosts_down=self.gateway.count_unavailable(),
-            pool_connections=len(self.pool.connections), pool_idle=self.pool.idle_count(), **pool, **more)
+            pool_connections=len(self.pool.connections), pool_idle=self.pool.idle_count(),
+            charged_bytes=self.memory.used, **pool, **more)
 
     def change_settings(self, pool: PoolSettings, aggregation: AggregationSettings | None = None) -> None:
         """Applies an operator's change of the connection pools or of the limit on counter calls."""
--- a/embersill/net/handover.py
+++ b/embersill/net/handover.py
@@ -24,6 +24,8 @@
 from embersill.net.clients import ClientConnection, ConnectionHistory, ClientServer
 from embersill.net.driver import Driver
 from embersill.net.lameduck import LameDuck
+from embersill.net.memory import MB
+from embersill.net.overload import OverloadManager
 
 VERSION = 1  # of the messages and the state file; what comes from another version is ignored
 SOCKET_NAME, STATE_FILE_NAME = "embersill.link", "embersill.state"
@@ -32,6 +34,8 @@
 CONFIRMATION_TIMEOUT = 0.5  # seconds for the peer to confirm a suspension: the console must answer within 1
 ACCEPT_RETRY_DELAY = 0.05  # seconds until the next try to accept a successor's connection
 SAVE_RETRY_DELAY = 0.5  # seconds until the next try to write the state file
+MEMORY_USE_INTERVAL = 0.1  # seconds between the reports of each process's memory to the other
+START_MEMORY = 16 * MB  # bytes that a successor takes until it tells what it has
 CONNECTION_COUNT_INTERVAL = 0.25  # seconds between the predecessor's reports of its open connections
 
 Message = dict[str, Any]
@@ -173,9 +177,10 @@
     """Part of this process in upgrades: as a successor, if another process runs, later as a predecessor."""
 
     def __init__(
-        self, directory: str | None, driver: Driver, front: ClientServer, lame_duck: LameDuck
+        self, directory: str | None, driver: Driver, front: ClientServer, lame_duck: LameDuck,
+        overload: OverloadManager,
     ) -> None:
-        self.driver, self.front, self.lame_duck = driver, front, lame_duck
+        self.driver, self.front, self.lame_duck, self.overload = driver, front, lame_duck, overload
         self.console_address = ""  # of this process, as host:port
         self.successor_console = ""  # console address of the successor, or of one that came too late
         self.loop = asyncio.get_running_loop()
@@ -184,6 +189,8 @@
         self.take_over_result: asyncio.Future[bool] = self.loop.create_future()
         self.save_scheduled = False  # a failed write of the state file will be repeated
         self.handed_over = False  # this process only finishes its requests in flight
+        self.peer_tells_memory = False  # the other process is of a version that takes "memory" messages
+        self.memory_timer: asyncio.TimerHandle | None = None
         self.peer_knows_runs = False  # the other process is of a version that takes "ran" messages
         driver.share_run = self.share_run
         # by backend: suspensions, or ends of one, that the other process has not confirmed
@@ -212,7 +219,7 @@
     async def take_over(self) -> bool:
         """Asks the predecessor to hand over; returns False if it did not in time."""
         if self.channel is None or not self.channel.send(
-            {"say": "take", "console": self.console_address, "runs": True}
+            {"say": "take", "console": self.console_address, "runs": True, **self.memory_use()}
         ):
             return False
         try:
@@ -231,6 +238,7 @@
     def accept_hand_over(self, message: Message, descriptors: list[int]) -> None:
         """Takes over with the descriptors of the listener and, from newer versions, of the state."""
         self.set_peer_connections(message)
+        self.share_memory(message)
         self.peer_knows_runs = bool(message.get("runs"))
         state = read_memory_file(descriptors[1]) if len(descriptors) > 1 else {}
         self.driver.load_predecessor_state(self.add_clock_offset(state or self.read_state()))
@@ -259,6 +267,25 @@
             int(message["clients"]), int(message["backends"]))
         self.driver.memory.set_shared(True)
 
+    def memory_use(self) -> Message:
+        """This process's memory, which counts towards the limit of both."""
+        return {"memory": self.overload.anonymous}
+
+    def share_memory(self, message: Message) -> None:
+        """Leaves the other process what it has; a process of an older version does not tell."""
+        size = message.get("memory")
+        self.peer_tells_memory = size is not None
+        self.overload.set_other(float(size) if size else self.overload.limit / 2)
+        self.send_memory_use()
+
+    def send_memory_use(self) -> None:
+        """Tells the other process what this one has, as long as both run."""
+        if self.memory_timer is not None:
+            self.memory_timer.cancel()
+        if self.peer_tells_memory and self.channel is not None and self.channel.sock.fileno() >= 0:
+            self.channel.send({"say": "memory", **self.memory_use()})
+            self.memory_timer = self.loop.call_later(MEMORY_USE_INTERVAL, self.send_memory_use)
+
     # as the predecessor
 
     def listen(self) -> None:
@@ -294,6 +321,7 @@
             return log.warning("a successor's connection was not accepted: %s", error)
         if self.handed_over or (self.channel is not None and self.channel.sock.fileno() >= 0):
             return sock.close()  # only one successor at a time
+        self.overload.set_other(START_MEMORY)
         self.channel = Channel(sock, self.on_message, self.on_peer_exited)
 
     def hand_over(self, successor_console: str) -> None:
@@ -312,7 +340,7 @@
         state = {**self.driver.hand_over(), "monotonic": time.monotonic()}
         self.write_state(state)  # for older versions; may fail, for example on a full disk
         message = {"say": "given", **self.connection_counts(), "lame_duck": self.lame_duck.remaining(),
-                   "runs": True}
+                   "runs": True, **self.memory_use()}
         memory_file = create_memory_file(serialize_state(state))
         sent = self.channel.send(message, listener.fileno(), *([] if memory_file < 0 else [memory_file]))
         if memory_file >= 0:
@@ -360,6 +388,7 @@
         match message["say"]:
             case "take":
                 self.peer_knows_runs = bool(message.get("runs"))
+                self.share_memory(message)
                 self.hand_over(str(message.get("console", "")))
             case "given":
                 self.accept_hand_over(message, descriptors)
@@ -373,6 +402,8 @@
                 self.front.adopt_connection(descriptors[0], read_history(message))
             case "holds":
                 self.set_peer_connections(message)
+            case "memory":
+                self.overload.set_other(float(message["memory"]))
             case "ran":
                 self.driver.post(read_run(message))
             case "suspend":
@@ -425,6 +456,7 @@
     def on_peer_exited(self) -> None:
         """Serves on, or takes over the limits, as the other process has exited."""
         self.channel = None
+        self.overload.set_other(0.0)
         for confirmation in self.pending_confirmations.values():
             if not confirmation.done():
                 confirmation.set_result(None)
@@ -480,6 +512,8 @@
             self.listener = None
 
     def close(self) -> None:
+        if self.memory_timer is not None:
+            self.memory_timer.cancel()
         if self.channel is not None:
             self.channel.close()
         self.stop_listening()
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -14,7 +14,8 @@
 
 from embersill.lab.peers import HttpMessage, response_bytes
 from embersill.net.backends import BackendConnection, Dialer
-from embersill.net.clients import UNREAD_CHECK_INTERVAL, MAX_PIPELINED, ClientConnection
+from embersill.net.clients import UNREAD_CHECK_INTERVAL, ClientConnection
+from embersill.net.memory import MAX_PIPELINED
 from embersill.net.pool import Address
 from tests.bed import Bed, Client, request, roomy_settings
 from tests.bed import with_bed as with_any_bed
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -75,11 +75,13 @@
         env["packages"][0].update(peak_units=16.0, units_per_s=0.001)
         async with running(env=env) as bed:
             names = [c["name"] for c in env["services"]]
-            assert await figures(bed) == {
+            before = await figures(bed)
+            assert before.pop("memory_bytes") >= 0
+            assert before == {
                 "success": dict.fromkeys(names, 0), "busy": dict.fromkeys(names, 0),
                 "failure": dict.fromkeys(names, 0),
                 "backend_calls": 0, "inflight": 0, "hosts_listed": 1, "hosts_down": 0,
-                "pool_connections": 0, "pool_idle": 0}
+                "pool_connections": 0, "pool_idle": 0, "charged_bytes": 0}
             client = await bed.client()
             bed.backends[0].script = [lambda writer, asked: writer.write(response_bytes(500))]
             assert (await client.ask(request(1, "extract", units="4")))[0] == 502
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -172,10 +172,12 @@
             with caplog.at_level("INFO", logger="embersill"):
                 bed.program.driver.log_figures()
                 bed.program.driver.log_figures()  # logs no line, as nothing has changed
+                memory = bed.program.driver.memory_figures()
+            assert re.fullmatch(r", memory \d+\.\d MB, charged 0\.0 MB", memory)
             lines = [re.sub(r"pool waited ms \d+, ", "", line) for line in caplog.messages]
             assert lines == [
                 "attempt served 1, busy 2, gave up over quota 2, list asked 2, pool opened 1, pool waited 1,"
                 " success 1;"
-                " open 0, connections 1, idle 1, listed 1, down 0"]
+                " open 0, connections 1, idle 1, listed 1, down 0" + memory]
 
     run(test)
--- a/tests/test_incident_late_read.py
+++ b/tests/test_incident_late_read.py
@@ -15,7 +15,8 @@
 
 from embersill.lab.peers import read_message
 from embersill.lab.soak.deployment import Deployment
-from embersill.net.clients import MAX_PIPELINED, STALLED_AFTER
+from embersill.net.clients import STALLED_AFTER
+from embersill.net.memory import MAX_PIPELINED
 from tests.bed import run
 from tests.peers import SOON
 from tests.soak_bed import BOOKING, LOOKUP, SoakBed, soak_bed
--- a/tests/test_incident_upload_time.py
+++ b/tests/test_incident_upload_time.py
@@ -18,7 +18,7 @@
 
 from embersill.lab.peers import HOST, read_message, response_bytes
 from embersill.lab.soak.deployment import Deployment
-from embersill.net.clients import MAX_PIPELINED
+from embersill.net.memory import MAX_PIPELINED
 from tests.bed import run
 from tests.peers import SOON
 from tests.soak_bed import CHUNKED, LOOKUP, SIGNATURE, SoakBed, signature_head, soak_bed
