Leave half of the places at backends to requests that are complete

What callers saw: beside a crowd that stops in the middle of large requests, 61 of 65 sound requests were refused.

Cause: a request whose body is still being received holds a place at its backend, though the backend begins nothing before the last byte. 330 stalled ones filled the limits of all backends (8 each at first), so that nobody else found one ("no backend", from a trace of: 186 refusals). Those whose time ended were counted as connections that the backend had failed to open: 12 of 12 "down" in one trial, although it was the client's bytes that lacked.

Change: attempts with an incomplete body take at most half of the places of a backend, one at least, and half of all. An attempt that waits for its client's bytes ends as not sent, and no longer as a failure of the backend.

--- a/embersill/control.py
+++ b/embersill/control.py
@@ -73,6 +73,7 @@
 LIST_FOLLOWED_AFTER = 5.0  # seconds from the first list, after which new entries have just started
 MAX_REMOVED = 16_384  # removed backends whose last start is stored
 GUARANTEED_SLOTS = 2  # gateways that may always send a cold backend one attempt per overload window
+UPLOAD_SHARE = 0.5  # fraction of the places at backends for requests whose body is still being received
 INITIAL_LIMIT = 8.0  # attempts in flight at a backend, all gateways, before anything is learned of it
 MIN_LIMIT = 4.0  # the same under overload
 MIN_IN_FLIGHT = 1.0  # attempts that a gateway may always have in flight
@@ -260,6 +261,7 @@
     max_connections: learned limit on this gateway's connections to it
     next_raise_at: when one more connection is tried
     last_connect_failed_at: when it last accepted no further connection
+    uploads: attempts in flight whose body is still being received
     average_in_flight, load_updated_at: average of `in_flight`, and when it was last brought up to date
     max_idle: idle connections to keep
     cold_sends: moments of the attempts sent while it was cold, in the last overload window
@@ -269,7 +271,7 @@
         self.backend, self.decayed_at = backend, now
         self.rank = rank
         self.started_at = backend.started_at
-        self.in_flight = self.overdue = 0
+        self.in_flight = self.overdue = self.uploads = 0
         self.last_failed_at = now
         self.failure_score = 0.0
         self.rejecting_until: dict[tuple[str, str], float] = {}
@@ -375,7 +377,7 @@
         self.admitted_fraction, self.last_adjusted_at = 1.0, now
         self.lightly_loaded_since = inf
         self.work_times = WorkTimes()
-        self.in_flight, self.limit = 0, float("inf")
+        self.in_flight, self.uploads, self.limit = 0, 0, float("inf")
         self.recently_served, self.served_decayed_at = 0.0, now
         self.cold_capacity, self.cold_update_at = 0.0, now
         self.counter_backoff_until, self.counter_failures = now, 0
@@ -1187,6 +1189,8 @@
         if (server.backend.status is not BackendStatus.SERVING or not current
                 or server.backend.address in self.suspended):
             return False
+        if job.uploading and not self.may_upload(server):
+            return False
         if job.attempt_count >= settings.max_attempts or (job.attempts_in_flight and not settings.may_hedge):
             return False
         if run is not None and job.request_class.repeat_policy is RepeatPolicy.ONCE:
@@ -1200,6 +1204,16 @@
             return False
         return bool(job.attempts) or job.throttle.fits_ceiling(job.request.units, self.now)
 
+    def may_upload(self, server: Server) -> bool:
+        """Returns whether one more request whose body is still being received may take a place.
+
+        Their clients may stop at any time, so a part of the places is left to complete requests.
+        """
+        places = min(server.limit, server.max_connections)
+        if server.uploads + 1 > max(1.0, UPLOAD_SHARE * places):
+            return False
+        return self.uploads + 1 <= max(1.0, UPLOAD_SHARE * len(self.serving_servers) * max(places, 1.0))
+
     def send(self, job: Job, server: Server) -> None:
         """Starts an attempt; no other code does."""
         if not self.may_send(job, server):
@@ -1214,6 +1228,10 @@
             server.cold_sends.append(self.now)
         server.in_flight += 1
         self.in_flight += 1
+        if job.uploading:
+            attempt.uploading = True
+            server.uploads += 1
+            self.uploads += 1
         job.throttle.in_flight += 1
         job.attempts_in_flight += 1
         job.attempts.append(attempt)
@@ -1237,6 +1255,7 @@
         if job is not None and job.uploading:
             job.uploading, job.arrived_at = False, self.now
             for number, attempt in enumerate(job.attempts):
+                self.end_upload(attempt)
                 if attempt.in_flight:
                     attempt.sent_at = self.now
                     self.start_late_timer(job, number)
@@ -1250,8 +1269,16 @@
             self.stop_awaiting(attempt)
             self.learn(job, attempt, Outcome.SERVED, self.now - attempt.sent_at)
 
+    def end_upload(self, attempt: Attempt) -> None:
+        """Subtracts an attempt from those whose body is still being received, if it is one."""
+        if attempt.uploading:
+            attempt.uploading = False
+            attempt.server.uploads -= 1
+            self.uploads -= 1
+
     def stop_awaiting(self, attempt: Attempt) -> None:
         """Subtracts an attempt from those without an answer, if it is one."""
+        self.end_upload(attempt)
         if attempt.awaiting_response:
             attempt.awaiting_response = False
             self.update_load(attempt.server)
--- a/embersill/net/backends.py
+++ b/embersill/net/backends.py
@@ -120,7 +120,9 @@
         if connection is not None and connection.stream_begun_answer():
             return  # what the backend still gives is not cut off
         if connection is not None and not connection.fully_written:
-            self.end(AttemptResult(Outcome.NO_CONNECTION))  # the backend cannot have the complete request
+            # the backend cannot have the complete request; it is not at fault where the client's bytes lack
+            self.end(AttemptResult(
+                Outcome.NO_CONNECTION if connection.write_pending else Outcome.NOT_SENT))
         elif connection is not None:
             self.end(AttemptResult(Outcome.TIMED_OUT))
             # connections to a machine that lost its network stay open but silent: an attempt written to one
--- a/embersill/records.py
+++ b/embersill/records.py
@@ -71,4 +71,5 @@
         self.late_after = late_after  # seconds after which a missing answer counts as a sign of overload
         self.load = load  # when it was sent: the load after its own answer would bias which answers are used
         self.in_flight, self.never_ran, self.overdue = True, False, False
+        self.uploading = False  # the body of the request is still being received
         self.awaiting_response = True  # the backend has not started its answer
