--- a/embersill/lab/soak/backends.py
+++ b/embersill/lab/soak/backends.py
@@ -12,11 +12,13 @@
 from enum import Enum
 from typing import cast
 
+from embersill.lab.soak.crowd import CALL_PREFIX, answer_size
 from embersill.lab.soak.observations import Attempt, AttemptEnd, ClientRequest
 
 LOOPBACK_DEVICE = b"lo"
 FIRST_SUBNET = 64  # second byte of the first address, 127.64.0.1
 BACKLOG = 4096
+LAST_CHUNK = b"\r\n0\r\n\r\n"  # no body of the crowd has line ends within
 REJECTED_RESPONSE = b"HTTP/1.1 503 X\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n"
 
 
@@ -118,7 +120,8 @@
         if not ended:
             return
         headers = dict(line.lower().split(b": ", 1) for line in head.split(b"\r\n")[1:])
-        if len(body) >= int(headers.get(b"content-length", b"0")):
+        is_chunked = headers.get(b"transfer-encoding") == b"chunked"
+        if body.endswith(LAST_CHUNK) if is_chunked else len(body) >= int(headers.get(b"content-length", 0)):
             self.received = b""
             self.on_request(headers)
 
@@ -126,6 +129,9 @@
         """Called when a request is received in full: records the attempt and schedules its answer."""
         assert self.transport is not None
         call_id = headers.get(b"x-call-id", b"").decode()
+        if call_id.startswith(CALL_PREFIX):
+            size = max(answer_size(call_id), 2)
+            return self.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (size, b"x" * size))
         request = self.server.requests.get(call_id)
         if request is None:
             self.server.unknown_call_ids.append(call_id)
--- a/embersill/lab/soak/command.py
+++ b/embersill/lab/soak/command.py
@@ -67,6 +67,7 @@
             print(
                 f"seed {seed}: {state}; {result.served} of {result.requests} served, peers late "
                 f"{1000 * result.max_lateness:.0f} ms, {result.peak_memory_mb:.0f} MB, "
+                f"{result.peak_anonymous_mb:.1f} MB anonymous, "
                 f"{result.max_descriptors} descriptors; {plan.describe()}",
                 flush=True,
             )
--- a/embersill/lab/soak/gateway_process.py
+++ b/embersill/lab/soak/gateway_process.py
@@ -104,12 +104,21 @@
 
     def peak_memory_mb(self) -> float:
         """Peak resident memory (VmHWM); 0 if the process has ended."""
-        assert self.child is not None
+        return self.status_mb("VmHWM")
+
+    def anonymous_memory_mb(self) -> float:
+        """The memory without files and libraries (RssAnon), which the platform limits; 0 if it has ended."""
+        return self.status_mb("RssAnon")
+
+    def status_mb(self, name: str) -> float:
+        """A size from /proc/PID/status; 0 if the process has not started or has ended."""
+        if self.child is None:
+            return 0.0
         try:
             status = pathlib.Path(f"/proc/{self.child.pid}/status").read_text()
         except OSError:
             return 0.0
-        line = next((line for line in status.splitlines() if line.startswith("VmHWM")), "VmHWM: 0 kB")
+        line = next((line for line in status.splitlines() if line.startswith(name)), f"{name}: 0 kB")
         return int(line.split()[1]) / 1024.0
 
     def processor_seconds(self) -> float:
--- a/embersill/lab/soak/plan.py
+++ b/embersill/lab/soak/plan.py
@@ -11,6 +11,7 @@
 from enum import Enum
 
 from embersill.lab.soak.backends import Behaviour
+from embersill.lab.soak.crowd import FORMS
 from embersill.lab.soak.deployment import Deployment, RequestClass
 
 SIZES = (200, 800, 3200)  # backends
@@ -24,6 +25,13 @@
 UPGRADE_SHARE, MAX_UPGRADES = 0.4, 3  # share of the days with upgrades, and most upgrades in a day
 EARLY_SIGTERM_SHARE, MAX_EARLY_SIGTERMS = 0.3, 2  # the same for processes ended during their start
 HEAVY_WORK_FACTORS = (0.4, 0.6, 0.8)  # mean work time as a share of the aim
+CROWD_SHARE, MAX_CROWD_FORMS = 0.5, 6  # share of the days with a crowd, and most forms of its peers
+# Descriptors of a gateway beside a crowd, and the crowd's peers; one pair is drawn. By the operators' terms
+# clients hold at most a third of the descriptors for requests, and the sound ones need some of these.
+CROWD_SIZES = ((256, 80), (640, 200), (1024, 330))
+# MB of a gateway beside a crowd: the least that the operators' terms name, and what they allow it to grow by
+# with the longest list.
+LEAST_MEMORY_MB, LEAST_MEMORY_LONG_LIST_MB = 32, 48
 LIST_WRITE_TIME = 0.3  # seconds over which an agent writes a list in pieces; the protocol says at once
 
 
@@ -97,6 +105,15 @@
         )
 
 
+@dataclass(frozen=True, slots=True)
+class CrowdPlan:
+    """Costly peers of one gateway, which come again from before its start until the end of the day."""
+
+    gateway: int
+    peers: int
+    forms: tuple[str, ...]  # names in embersill.lab.soak.crowd.FORMS
+
+
 @dataclass(frozen=True, slots=True)
 class SoakPlan:
     """One day of a soak: its size, its deployment and everything that goes wrong in it."""
@@ -109,6 +126,7 @@
     faults: tuple[ScheduledFault, ...]
     shims: tuple[ShimSetting, ...] = field(default=())  # by gateway
     mean_work_time: float = 0.01  # seconds that a request takes at a backend
+    crowd: CrowdPlan | None = None
 
     def with_faults(self, more: Iterable[ScheduledFault]) -> SoakPlan:
         """The same day with these faults added, in the order of time."""
@@ -121,12 +139,21 @@
         return (
             f"seed {self.seed}: {self.backends} backends, {self.deployment.gateways} gateways, "
             f"{self.seconds:.0f} s, deadlines {[c.deadline for c in self.deployment.classes]}, "
-            f"work {self.mean_work_time:.3f} s, "
+            f"work {self.mean_work_time:.3f} s, {self.describe_crowd()}"
             f"ceiling of {self.deployment.ceiling * self.deployment.rate:g}/s over "
             f"{self.deployment.customer_gateways}, faults {names}; calls that fail {shims}"
         )
 
 
+    def describe_crowd(self) -> str:
+        """The crowd and the limits beside it, for `describe`."""
+        if self.crowd is None:
+            return ""
+        limits = f"{self.deployment.memory_mb} MB, {self.deployment.sockets} descriptors"
+        forms = "+".join(self.crowd.forms)
+        return f"{self.crowd.peers} peers {forms} at {self.crowd.gateway} with {limits}, "
+
+
 def draw_classes(rng: random.Random) -> tuple[RequestClass, ...]:
     """One class for each semantics of repeats, with a common aim and deadline."""
     short = rng.random() < 0.5
@@ -183,7 +210,20 @@
     )
     rate, work = rng.uniform(10.0, 40.0), rng.choice([0.01, 0.05, 0.2])
     plan = SoakPlan(seed, length, backends, rate, deployment, tuple(faults), shims, work)
-    return add_harder_conditions(random.Random(f"soak harder {seed}"), plan)
+    plan = add_harder_conditions(random.Random(f"soak harder {seed}"), plan)
+    return add_crowd(random.Random(f"soak crowd {seed}"), plan)
+
+
+def add_crowd(rng: random.Random, plan: SoakPlan) -> SoakPlan:
+    """Gives a share of the days a crowd, and all gateways the least memory; `rng` is one of its own."""
+    if rng.random() >= CROWD_SHARE:
+        return plan
+    forms = rng.sample(sorted(FORMS), rng.randint(1, MAX_CROWD_FORMS))
+    sockets, peers = rng.choice(CROWD_SIZES)
+    crowd = CrowdPlan(rng.randrange(plan.deployment.gateways), peers, tuple(forms))
+    memory_mb = LEAST_MEMORY_LONG_LIST_MB if plan.backends == SIZES[-1] else LEAST_MEMORY_MB
+    deployment = replace(plan.deployment, memory_mb=memory_mb, sockets=sockets)
+    return replace(plan, crowd=crowd, deployment=deployment)
 
 
 def add_harder_conditions(rng: random.Random, plan: SoakPlan) -> SoakPlan:
--- a/embersill/lab/soak/play.py
+++ b/embersill/lab/soak/play.py
@@ -8,6 +8,7 @@
 import random
 import signal
 import subprocess
+import sys
 import time
 from collections import Counter
 from collections.abc import Coroutine, Mapping
@@ -27,6 +28,7 @@
 from embersill.lab.soak.gateway_process import GatewayProcess, NotReady
 from embersill.lab.soak.lateness import Lateness
 from embersill.lab.soak.observations import Attempt, AttemptEnd, ClientRequest, Violation
+from embersill.lab.versions import REPO_ROOT
 from embersill.lab.soak.plan import LIST_WRITE_TIME, Fault, ScheduledFault, SoakPlan
 from embersill.net.bodies import closed_by_peer
 
@@ -67,6 +69,7 @@
     max_lateness: float = 0.0  # seconds, of the peers' own process
     total_lateness: float = 0.0  # seconds; see Lateness.total
     peak_memory_mb: float = 0.0
+    peak_anonymous_mb: float = 0.0  # of a gateway's processes together
     max_descriptors: int = 0
     processor_seconds: float = 0.0  # of all gateways that are running at the end
     mean_memory_mb: float = 0.0  # mean of the gateways' peaks
@@ -118,6 +121,8 @@
         self.upgrading: set[int] = set()  # gateways whose successor is running as well
         self.reloading: Counter[int] = Counter()  # by gateway: reload faults under way
         self.tasks: set[asyncio.Task[None]] = set()
+        self.crowd: asyncio.subprocess.Process | None = None
+        self.memory_peaks: dict[int, float] = {}  # MB of anonymous memory of a gateway's processes together
         self.result = PlayResult(plan)
 
     # peers and gateways
@@ -152,6 +157,7 @@
             await self.agents[number].start()
             self.reloads[number] = []
             self.gateways.append(self.make_gateway(number, 0, 0))
+        await self.start_crowd()
         await asyncio.gather(*(self.launch(gateway) for gateway in self.gateways))
         for number, gateway in enumerate(self.gateways):
             self.clients.append(
@@ -165,6 +171,18 @@
                 )
             )
 
+    async def start_crowd(self) -> None:
+        """Starts the plan's crowd, whose peers come again until the end of the day."""
+        crowd, deployment = self.plan.crowd, self.plan.deployment
+        if crowd is None:
+            return
+        keyed = next(c.name for c in deployment.classes if c.repeats == "by_key")
+        self.crowd = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "embersill.lab.soak.crowd", str(self.gateways[crowd.gateway].port),
+            "--forms", ",".join(crowd.forms), "--peers", str(crowd.peers), "--seed", str(self.plan.seed),
+            "--seconds", str(self.plan.seconds + MAX_START_TIME), "--request-class", keyed,
+            "--spread", str(deployment.customer_gateways), cwd=REPO_ROOT)
+
     def make_gateway(
         self, number: int, index: int, port: int, folder: pathlib.Path | None = None
     ) -> GatewayProcess:
@@ -491,6 +509,7 @@
             await asyncio.sleep(POLL_INTERVAL)
             now = time.monotonic()
             self.lateness.record(now, now - due)
+            self.sample_memory()
             for gateway in self.gateways:
                 if gateway.running:
                     descriptors = gateway.descriptors()
@@ -499,6 +518,15 @@
                     )
             self.result.max_descriptors = max(self.descriptor_peaks.values(), default=0)
 
+    def sample_memory(self) -> None:
+        """Keeps the greatest sum of the anonymous memory of each gateway's running processes."""
+        totals: Counter[int] = Counter()
+        for process in self.processes:
+            if process.running:
+                totals[process.number] += round(1000 * process.anonymous_memory_mb())
+        for number, total in totals.items():
+            self.memory_peaks[number] = max(self.memory_peaks.get(number, 0.0), total / 1000)
+
     def measure(self) -> None:
         """Fills in the result's measurements and checks the limits of memory and descriptors."""
         self.result.max_lateness, self.result.total_lateness = self.lateness.maximum(), self.lateness.total()
@@ -512,8 +540,13 @@
         self.result.connections = self.backends.accepted_count
         self.result.list_bytes = sum(agent.bytes_written for agent in self.agents)
         limits = self.plan.deployment
-        if self.result.peak_memory_mb > limits.memory_mb:
+        self.result.peak_anonymous_mb = max(self.memory_peaks.values(), default=0.0)
+        # with libraries and files, which the platform does not count, where there is room for them
+        if self.plan.crowd is None and self.result.peak_memory_mb > limits.memory_mb:
             self.violations.append(Violation("memory", "", f"{self.result.peak_memory_mb:.0f} MB"))
+        if self.result.peak_anonymous_mb > limits.memory_mb:
+            detail = f"{self.result.peak_anonymous_mb:.1f} MB of anonymous memory"
+            self.violations.append(Violation("memory", "", detail))
         if self.result.max_descriptors > limits.sockets:
             self.violations.append(Violation("descriptors", "", str(self.result.max_descriptors)))
 
@@ -554,6 +587,9 @@
         """Cancels all tasks, kills all gateway processes and stops the peers."""
         for task in list(self.tasks):
             task.cancel()
+        if self.crowd is not None and self.crowd.returncode is None:
+            self.crowd.kill()
+            await self.crowd.wait()
         for gateway in self.processes:
             gateway.signal(signal.SIGKILL)
             if gateway.child is not None:
@@ -615,6 +651,7 @@
                 "served": result.served,
                 "late_ms": round(1000 * result.max_lateness),
                 "memory_mb": round(result.peak_memory_mb, 1),
+                "anonymous_mb": round(result.peak_anonymous_mb, 1),
                 "descriptors": result.max_descriptors,
                 "processor_s": round(result.processor_seconds, 2),
                 "violations": [str(violation) for violation in result.violations],
--- a/tests/incident_bed.py
+++ b/tests/incident_bed.py
@@ -138,14 +138,7 @@
 
 def anonymous_memory_mb(bed: SoakBed, process: GatewayProcess | None = None) -> float:
     """The memory of the process, or of the gateway, without files and libraries; 0 if it has ended."""
-    child = (process or bed.gateway).child
-    assert child is not None
-    try:
-        status = pathlib.Path(f"/proc/{child.pid}/status").read_text()
-    except OSError:
-        return 0.0
-    line = next((line for line in status.splitlines() if line.startswith("RssAnon")), "RssAnon: 0 kB")
-    return int(line.split()[1]) / 1024.0
+    return (process or bed.gateway).anonymous_memory_mb()
 
 
 class MemoryWatch:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,6 +14,7 @@
 from embersill.lab.soak.checks import ProcessLife, PlayRecord, check_all
 from embersill.lab.soak.clients import BadClient, read_message_within
 from embersill.lab.soak.command import InvalidSeeds, parse_seed_list, parse_seeds
+from embersill.lab.soak.crowd import FORMS
 from embersill.lab.soak.deployment import Deployment, RequestClass
 from embersill.lab.soak.discovery_agent import DrainHistory, DrainPeriod
 from embersill.lab.soak.lateness import AFFECTED_WINDOW, Lateness
@@ -299,6 +300,18 @@
     assert len(addresses) == 70_000 and all(a.startswith("127.") for a in addresses)
 
 
+def test_half_of_the_days_have_a_crowd_at_the_least_memory() -> None:
+    plans = [draw_plan(seed, 10.0) for seed in range(1, 201)]
+    crowded = [plan for plan in plans if plan.crowd is not None]
+    assert 70 <= len(crowded) <= 130
+    for plan in crowded:
+        assert plan.crowd is not None and plan.crowd.gateway < plan.deployment.gateways
+        assert plan.crowd.peers <= plan.deployment.sockets / 3
+        assert plan.deployment.memory_mb == (48 if plan.backends == 3200 else 32)
+    assert {form for plan in crowded if plan.crowd for form in plan.crowd.forms} == set(FORMS)
+    assert all(plan.deployment.memory_mb == 96 for plan in plans if plan.crowd is None)
+
+
 def test_seeds_and_ranges_are_parsed() -> None:
     assert parse_seed_list("1-3,10") == [1, 2, 3, 10] and parse_seed_list("") == []
     assert list(parse_seeds("3")) == [3] and list(parse_seeds("2-4")) == [2, 3, 4]
