Forget a request whose client leaves before it has an attempt

What callers saw: a process beside a crowd grew by some 0.8 MB a second until it passed its limit, with next to nothing charged.

Cause: Driver.on_client_disconnected ended a request without dropping it. Where an attempt is out its end drops the request; one that is held for its quota, or whose body is received, has none, so that it stayed in Driver.pending for good, with its client's connection.

The new test failed before.

--- a/embersill/net/driver.py
+++ b/embersill/net/driver.py
@@ -274,6 +274,7 @@
             self.figures.other_counts["client left"] += 1
             self.finish(pending, reason="client left")
             self.post(ClientDisconnected(request_id))
+            self.drop_if_done(pending)
 
     def on_list(self, listing: Listing) -> None:
         """Applies a list from discovery.
--- a/tests/test_incident_cycles.py
+++ b/tests/test_incident_cycles.py
@@ -9,7 +9,7 @@
 import pytest
 
 from embersill.lab.peers import HttpMessage
-from tests.bed import Bed, Client, request, with_bed
+from tests.bed import Bed, Client, request, roomy_settings, run, running, with_bed
 
 LARGE = 200_000  # bytes of a body that is streamed
 GATEWAY_MODULES = ("embersill.net", "embersill.control", "embersill.interface", "httptools")
@@ -95,3 +95,24 @@
             gc.enable()
 
     with_bed(test)
+
+
+def test_requests_whose_clients_leave_before_any_attempt_are_forgotten() -> None:
+    async def test() -> None:
+        env = roomy_settings()
+        env["packages"][0].update(peak_units=1.0, units_per_s=2.0)
+        async with running(env=env) as bed:
+            clients = [await bed.client() for _ in range(4)]
+            for number, client in enumerate(clients):
+                client.send(request(number))
+            async with asyncio.timeout(5.0):
+                while not any(not pending.attempts for pending in bed.program.driver.pending.values()):
+                    await asyncio.sleep(0.001)
+            for client in clients:
+                client.reset()
+            async with asyncio.timeout(5.0):
+                while bed.program.front.connections:
+                    await asyncio.sleep(0.01)
+            assert not bed.program.driver.pending and not bed.program.driver.unanswered
+
+    run(test)
