Read no more of a refused request at a time than of any other

Cause: a request without memory for its body was read 64 KB at a time, to be done with it soon. Hundreds of them wait for their turn with what was read, charged and with nothing to give way: 10.2 MB charged at a limit of 0, 34 KB for each of 301 connections.

Change: the exception is gone.

--- a/embersill/net/clients.py
+++ b/embersill/net/clients.py
@@ -317,7 +317,7 @@
         is_busy = server.turns.waiting and self.head_normalizer is not None
         buffer = server.head_buffer if is_busy else server.read_buffer
         allowed = server.memory.peer_buffer
-        if allowed < len(buffer) and not (self.in_request and self.refused):
+        if allowed < len(buffer):
             buffer = buffer[:allowed]
         self.read_size = len(buffer)
         return buffer
