Let a new process of an upgrade load the program once there is memory for it

Change: embersill/start_gate.py, before anything heavy is imported (3 to 5 MB): the new process asks the running one, which frees as much as it needs itself at its start and 1.5 MB more, for 3 s, and lets it load as soon as both fit; until then it waits, and loads when the running one has ended.

--- a/embersill/net/handover.py
+++ b/embersill/net/handover.py
@@ -25,17 +25,21 @@
 from embersill.net.driver import Driver
 from embersill.net.lameduck import LameDuck
 from embersill.net.memory import MB
+from embersill.start_gate import MESSAGE_VERSION as VERSION
+from embersill.start_gate import SOCKET_NAME
 from embersill.net.overload import OverloadManager
 
-VERSION = 1  # of the messages and the state file; what comes from another version is ignored
-SOCKET_NAME, STATE_FILE_NAME = "embersill.link", "embersill.state"
+STATE_FILE_NAME = "embersill.state"
 MAX_MESSAGE_SIZE = 4096  # bytes: the id of a backend is the longest part of a message
 TAKE_OVER_TIMEOUT = 1.5  # seconds for the predecessor to hand over: the successor must be ready within 6
 CONFIRMATION_TIMEOUT = 0.5  # seconds for the peer to confirm a suspension: the console must answer within 1
 ACCEPT_RETRY_DELAY = 0.05  # seconds until the next try to accept a successor's connection
 SAVE_RETRY_DELAY = 0.5  # seconds until the next try to write the state file
 MEMORY_USE_INTERVAL = 0.1  # seconds between the reports of each process's memory to the other
-START_MEMORY = 16 * MB  # bytes that a successor takes until it tells what it has
+WAITING_MEMORY = 6 * MB  # bytes of a successor that has not loaded the program
+ROOM_CHECK_INTERVAL = 0.05  # seconds between checks whether there is room for a successor
+# Seconds for which as much is freed as a successor needs; after that it waits until there is room by itself.
+MAKE_ROOM_TIMEOUT = 3.0
 CONNECTION_COUNT_INTERVAL = 0.25  # seconds between the predecessor's reports of its open connections
 
 Message = dict[str, Any]
@@ -178,8 +182,9 @@
 
     def __init__(
         self, directory: str | None, driver: Driver, front: ClientServer, lame_duck: LameDuck,
-        overload: OverloadManager,
+        overload: OverloadManager, predecessor: socket.socket | None = None,
     ) -> None:
+        self.predecessor = predecessor
         self.driver, self.front, self.lame_duck, self.overload = driver, front, lame_duck, overload
         self.console_address = ""  # of this process, as host:port
         self.successor_console = ""  # console address of the successor, or of one that came too late
@@ -204,6 +209,9 @@
 
     def connect_to_predecessor(self) -> bool:
         """Connects to a running process; returns False if there is none."""
+        if self.predecessor is not None:
+            self.channel = Channel(self.predecessor, self.on_message, self.on_peer_exited)
+            return True
         if self.directory < 0:
             return False
         sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
@@ -321,9 +329,27 @@
             return log.warning("a successor's connection was not accepted: %s", error)
         if self.handed_over or (self.channel is not None and self.channel.sock.fileno() >= 0):
             return sock.close()  # only one successor at a time
-        self.overload.set_other(START_MEMORY)
+        self.overload.set_other(self.overload.at_start)
         self.channel = Channel(sock, self.on_message, self.on_peer_exited)
 
+    def make_room(self, until: float) -> None:
+        """Lets the successor load the program as soon as there is memory for it."""
+        if self.channel is None:
+            return
+        if self.overload.has_room_for_successor():
+            self.overload.set_other(self.overload.at_start)
+            self.channel.send({"say": "may load"})
+            return
+        if self.loop.time() >= until:
+            self.overload.set_other(WAITING_MEMORY)
+        self.loop.call_later(ROOM_CHECK_INTERVAL, self.make_room, until)
+
+    def on_load_request(self) -> None:
+        """Makes room for a successor that has not loaded the program yet."""
+        if self.channel is not None and not self.overload.has_room_for_successor():
+            self.channel.send({"say": "wait"})
+        self.make_room(self.loop.time() + MAKE_ROOM_TIMEOUT)
+
     def hand_over(self, successor_console: str) -> None:
         """Gives the successor all that it needs; from then on this process only finishes its requests."""
         listener = self.front.listener
@@ -402,6 +428,10 @@
                 self.front.adopt_connection(descriptors[0], read_history(message))
             case "holds":
                 self.set_peer_connections(message)
+            case "load":
+                self.on_load_request()
+            case "may load" | "wait":
+                pass  # sent before this process had loaded the program
             case "memory":
                 self.overload.set_other(float(message["memory"]))
             case "ran":
--- a/embersill/net/overload.py
+++ b/embersill/net/overload.py
@@ -28,7 +28,9 @@
 MIN_TRIM_GAIN = 256 * 1024  # bytes: after a smaller gain the next return waits for USELESS_TRIM_INTERVAL
 USELESS_TRIM_INTERVAL = 0.5  # seconds
 COLLECT_INTERVAL = 2.0  # seconds between garbage collections while peers have to give way
-MIN_CONNECTIONS = 16  # to which the number of connections may be limited
+START_MEMORY = 16 * MB  # bytes of a process that has started, until it is known
+START_MARGIN = 3 * MB // 2  # bytes by which a successor may need more than this process did
+MIN_CONNECTIONS = 64  # to which the number of connections may be limited
 
 
 class Memory(Protocol):
@@ -62,12 +64,23 @@
         self.budget, self.front, self.figures, self.memory = budget, front, figures, memory
         self.loop = asyncio.get_running_loop()
         self.limit, self.other = limit, 0.0
+        self.at_start = START_MEMORY  # bytes that this process had once it was ready
         self.anonymous = 0
         self.connection_limit: int | None = None
         self.next_trim = self.next_collection = 0.0  # seconds of the monotonic clock
         self.relief: asyncio.Handle | None = None
         budget.watch_growth(CHARGE_PER_CHECK, self.measure)
 
+    def start(self) -> None:
+        """Notes what a process needs that has started and serves nobody."""
+        self.measure()
+        self.at_start = self.anonymous or START_MEMORY
+
+    def has_room_for_successor(self) -> bool:
+        """True if a process may be started beside this one."""
+        self.measure()
+        return self.anonymous + self.at_start + START_MARGIN <= self.limit
+
     def set_other(self, size: float) -> None:
         """Sets the bytes that the other process of an upgrade has, or may take; 0 without one."""
         self.other = size
--- a/embersill/program.py
+++ b/embersill/program.py
@@ -9,6 +9,7 @@
 import os
 import resource
 import signal
+import socket
 import sys
 import time
 from collections.abc import Callable
@@ -172,7 +173,8 @@
 class Program:
     """The parts of one gateway, from start to stop."""
 
-    def __init__(self, configuration: Configuration) -> None:
+    def __init__(self, configuration: Configuration, predecessor: socket.socket | None = None) -> None:
+        """`predecessor`: a connection to the process that runs already, if it was made before."""
         clock = start_clock()
         self.loop = asyncio.get_running_loop()
         reserve = min(RESERVED_DESCRIPTORS, int(configuration.sockets * MAX_RESERVED_SHARE))
@@ -215,7 +217,8 @@
         self.stop_requested = asyncio.Event()  # by a signal, or as the lame duck period has ended
         self.lame_duck = LameDuck(clock, self.front, self.stop_requested.set)
         self.handover = Handover(
-            configuration.state_directory, self.driver, self.front, self.lame_duck, self.overload)
+            configuration.state_directory, self.driver, self.front, self.lame_duck, self.overload,
+            predecessor)
         longest = max((c.deadline for c in configuration.settings.classes), default=MAX_COUNTED_DEADLINE)
         self.stop_timeout = min(longest, MAX_COUNTED_DEADLINE) + KILL_DELAY - KILL_MARGIN
         self.listen_address, self.console_address = configuration.listen, configuration.console
@@ -399,6 +402,7 @@
                 await self.listen_for_clients()
         self.handover.listen()
         self.list_settled = True
+        self.overload.start()
 
     def reload(self) -> None:
         """Applies changed addresses of discovery and the counter, and changed pool and counter call settings.
@@ -488,11 +492,15 @@
     return words[0]
 
 
-async def run_program(configuration: Configuration) -> None:
-    await Program(configuration).run()
+async def run_program(configuration: Configuration, predecessor: socket.socket | None) -> None:
+    await Program(configuration, predecessor).run()
 
 
-def main() -> int:
+def run_gateway(predecessor: socket.socket | None = None) -> int:
+    """Runs the gateway until it has stopped; returns the exit code.
+
+    predecessor: a connection to the process that runs already, if there is one
+    """
     logging.basicConfig(format="%(name)s: %(message)s", level=logging.INFO)
     try:
         configuration = read_configuration(dict(os.environ))
@@ -500,12 +508,8 @@
         print(f"embersill: {error}", file=sys.stderr)
         return 2
     try:
-        uvloop.run(run_program(configuration))
+        uvloop.run(run_program(configuration, predecessor))
     except OSError as error:
         print(f"embersill: {error}", file=sys.stderr)
         return 1
     return 0
-
-
-if __name__ == "__main__":
-    sys.exit(main())
--- a/tests/bed.py
+++ b/tests/bed.py
@@ -13,7 +13,7 @@
 import pytest
 import uvloop
 
-from embersill.__main__ import Program, build_configuration
+from embersill.program import Program, build_configuration
 from embersill.lab.peers import HOST, HttpMessage, read_message, reset
 from embersill.net.backends import BackendConnection
 from embersill.net.pool import Pool
--- a/tests/test_aggregation_routing.py
+++ b/tests/test_aggregation_routing.py
@@ -16,7 +16,7 @@
 import pytest
 from scipy.stats import chisquare
 
-from embersill.__main__ import Program, build_configuration
+from embersill.program import Program, build_configuration
 from embersill.interface import AggregationSettings, CounterCallEnded, ListKind, Outcome, BackendStatus
 from embersill.lab.peers import HOST
 from embersill.net.aggregation import AggregatorRouter
@@ -578,6 +578,6 @@
 
 
 def test_without_aggregation_its_modules_are_not_imported() -> None:
-    code = "import sys, embersill.__main__, embersill.adapter; " \
+    code = "import sys, embersill.program, embersill.adapter; " \
         "sys.exit(any(m in sys.modules for m in ('embersill.net.aggregation', 'embersill.call_budget')))"
     assert subprocess.run([sys.executable, "-c", code], check=False, timeout=60).returncode == 0
--- a/tests/test_aggregator_server.py
+++ b/tests/test_aggregator_server.py
@@ -513,7 +513,7 @@
 
 def test_the_gateway_never_imports_the_aggregator() -> None:
     check = (
-        "import sys, embersill.__main__, embersill.adapter; "
+        "import sys, embersill.program, embersill.adapter; "
         "sys.exit(any(name.startswith('embersill.aggregator') for name in sys.modules))"
     )
     assert subprocess.run([sys.executable, "-c", check], cwd=ROOT).returncode == 0
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from embersill.__main__ import Program, build_configuration
+from embersill.program import Program, build_configuration
 from embersill.interface import ListKind, BackendStatus
 from embersill.lab.peers import response_bytes
 from embersill.net.discovery import EARLY_EMPTY_PAUSE, Discovery, Overloaded
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -11,12 +11,13 @@
 
 import pytest
 
-from embersill.__main__ import Program
+from embersill.program import Program
 from embersill.interface import (
     ListKind, Outcome, PredecessorEnded, PredecessorState, Refuse, Request, Send, Suspend, TimerExpired,
 )
 from embersill.lab.peers import HttpMessage
-from embersill.net.handover import SOCKET_NAME, STATE_FILE_NAME, Handover
+from embersill.net.handover import STATE_FILE_NAME, Handover
+from embersill.start_gate import SOCKET_NAME
 from tests.bed import READY, Bed, before, request, roomy_settings, run, running
 from tests.helpers import CAPPED, backend, backends, ended, gateway
 from tests.helpers import request as asked_for
--- a/tests/test_incident_clock.py
+++ b/tests/test_incident_clock.py
@@ -36,7 +36,7 @@
             before = held.quota_level
             first.gateway.counter_backoff_until = first.clock() + 7.0
             stepped = time.time
-            monkeypatch.setattr("embersill.__main__.time.time", lambda: stepped() + step)
+            monkeypatch.setattr("embersill.program.time.time", lambda: stepped() + step)
             second = await bed.successor(env, folder)
             assert bed.program.handover.handed_over
             made, now = second.driver.gateway, second.driver.clock()
--- a/tests/test_incident_crowds.py
+++ b/tests/test_incident_crowds.py
@@ -95,3 +95,12 @@
         check(await play(tmp_path, CROWDS["all forms"], memory_mb, SOCKETS, replacement))
 
     run(test)
+
+
+@pytest.mark.parametrize("form", ["slow_writer", "slow_reader", "large_requests", "stopped"])
+def test_both_processes_of_an_upgrade_stay_within_the_least_memory(form: str, tmp_path: pathlib.Path) -> None:
+    async def test() -> None:
+        crowd_bed = await play(tmp_path, form, MEMORY_MB, SOCKETS, "upgrade")
+        assert crowd_bed.platform.killed == 0, crowd_bed.platform.peak_mb
+
+    run(test)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -18,7 +18,7 @@
 
 import pytest
 
-from embersill.__main__ import ACCEPT_AFTER_SIGTERM, FINAL_READ_TIME
+from embersill.program import ACCEPT_AFTER_SIGTERM, FINAL_READ_TIME
 from embersill.lab.peers import HOST, HttpMessage, free_port
 from embersill.net.clients import EVICTABLE_AFTER
 from tests.bed import READY, Bed, Client, request, roomy_settings, run, running
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from embersill.__main__ import KILL_DELAY, KILL_MARGIN, MAX_COUNTED_DEADLINE, Program
+from embersill.program import KILL_DELAY, KILL_MARGIN, MAX_COUNTED_DEADLINE, Program
 from embersill.lab.peers import HttpMessage
 from embersill.net.clients import ACCEPT_BATCH, EVICTABLE_AFTER
 from embersill.net.driver import MIN_REMAINING_TIME
