Leave the memory of the tests out for gateways within the tests' process

Gateways that run in the tests' process now see their memory less what the process had before them, plus 16 MB; limits, checks and bounds are as before, and real processes see the kernel's figure.

--- a/tests/bed.py
+++ b/tests/bed.py
@@ -16,13 +16,35 @@
 from embersill.program import Program, build_configuration
 from embersill.lab.peers import HOST, HttpMessage, read_message, reset
 from embersill.net.backends import BackendConnection
+from embersill.net.memory import BASE_MEMORY
 from embersill.net.pool import Pool
+from embersill.net.process_memory import ProcessMemory
 from tests.peers import SOON, BackendPeer, CounterPeer, DiscoveryPeer, settings_text
 
 CUSTOMER = "00000000000000c1"
 READY = b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"
 
 
+class MemoryWithoutTests(ProcessMemory):
+    """What a gateway in a process of its own would have: that of the tests' process is left out."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.of_tests = 0
+        self.of_tests = self.anonymous_bytes() - BASE_MEMORY
+
+    def anonymous_bytes(self) -> int:
+        return max(super().anonymous_bytes() - self.of_tests, 0)
+
+
+def make_program(configuration: dict[str, Any], environ: dict[str, str]) -> Program:
+    """A gateway within the tests' process."""
+    program = Program(build_configuration(configuration, environ))
+    program.process_memory.close()
+    program.overload.memory = program.process_memory = MemoryWithoutTests()
+    return program
+
+
 def run(test: Callable[[], Awaitable[None]]) -> None:
     async def bounded() -> None:
         async with asyncio.timeout(3 * SOON):
@@ -134,7 +156,7 @@
         entries = [self.discovery.entry(f"b{n}", b.address) for n, b in enumerate(self.backends)]
         self.discovery.entries = {e["instanceId"]: e for e in entries}
         configuration = self.configuration(env, sockets)
-        self.program = Program(build_configuration(configuration, {"TMPDIR": folder}))
+        self.program = make_program(configuration, {"TMPDIR": folder})
         self.program.listen_address = self.program.console_address = (HOST, 0)
         await self.program.start()
         assert self.program.front.listener is not None
@@ -172,7 +194,7 @@
     async def successor(self, env: dict[str, Any], folder: str) -> Program:
         """Starts a successor, at the same addresses but for its console."""
         configuration = {**self.configuration(env, 1024), "listen": f"{HOST}:{self.port}"}
-        second = Program(build_configuration(configuration, {"TMPDIR": folder}))
+        second = make_program(configuration, {"TMPDIR": folder})
         second.console_address = (HOST, 0)
         await second.start()
         return second
--- a/tests/test_aggregation_routing.py
+++ b/tests/test_aggregation_routing.py
@@ -16,14 +16,14 @@
 import pytest
 from scipy.stats import chisquare
 
-from embersill.program import Program, build_configuration
+from embersill.program import build_configuration
 from embersill.interface import AggregationSettings, CounterCallEnded, ListKind, Outcome, BackendStatus
 from embersill.lab.peers import HOST
 from embersill.net.aggregation import AggregatorRouter
 from embersill.net.counter import Counter
 from embersill.net.listing import Listing, read_listing
 from embersill.settings import read_aggregation
-from tests.bed import Bed, request, roomy_settings, run, with_bed
+from tests.bed import Bed, make_program, request, roomy_settings, run, with_bed
 from tests.peers import SOON, CounterPeer, DiscoveryPeer, entry, settings_text
 
 TIMEOUT = 1.5  # seconds: long enough for loopback on a busy machine
@@ -458,7 +458,7 @@
         planned = {}
         for part in (None, {"directory": f"{HOST}:4"}):
             configuration = configured(aggregation=part, limits={"sockets": sockets, "memory_mb": 192})
-            program = Program(build_configuration(configuration, {}))
+            program = make_program(configuration, {})
             planned[part is not None] = program.dialer.pool.max_connections + program.front.max_connections
             if program.driver.counter is not None:
                 program.driver.counter.close()
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -6,12 +6,11 @@
 
 import pytest
 
-from embersill.program import Program, build_configuration
 from embersill.interface import ListKind, BackendStatus
 from embersill.lab.peers import response_bytes
 from embersill.net.discovery import EARLY_EMPTY_PAUSE, Discovery, Overloaded
 from embersill.net.listing import InvalidList, Listing, read_address, read_addresses, read_listing
-from tests.bed import READY, Bed, Client, no_descriptors, request, roomy_settings, run, running
+from tests.bed import READY, Bed, Client, make_program, no_descriptors, request, roomy_settings, run, running
 from tests.peers import SOON, BackendPeer, DiscoveryPeer
 
 
@@ -497,7 +496,7 @@
             await peer.start()
         configuration = bed.configuration({**roomy_settings(), "balancers": 1024}, 1024)
         configuration["limits"]["memory_mb"] = memory_mb
-        program = Program(build_configuration(configuration, {}))
+        program = make_program(configuration, {})
         await bed.discovery.change(
             *(bed.discovery.entry(f"s-{n:08x}", "127.0.0.1:9") for n in range(1024)))
         following = asyncio.get_running_loop().create_task(program.discovery.run())
