Find a running process in one place, and drop what the change left unused

On reading the change again: the start gate and the hand-over each connected to the running process by the same socket; both call connect_in now. The test for a stalled request says in its own words what is_incomplete tells; the crowd counted connections that nobody reads; the tests' platform held a bed for a function that a process has. Behaviour is as it was.

--- a/embersill/lab/soak/crowd.py
+++ b/embersill/lab/soak/crowd.py
@@ -133,7 +133,6 @@
         self.target, self.forms = target, forms
         self.rng = random.Random(f"crowd {seed}")
         self.call_numbers = itertools.count(self.rng.randrange(1 << 40))
-        self.connections = 0
 
     async def run(self, peers: int, until: float) -> None:
         """Lets `peers` act until this time of the monotonic clock."""
@@ -155,7 +154,6 @@
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, form.receive_buffer)
             sock.setblocking(False)
             await loop.sock_connect(sock, (HOST, self.target.port))
-            self.connections += 1
             writing = asyncio.ensure_future(self.write(sock, form, customer))
             reading = asyncio.ensure_future(self.read(sock, form))
             await asyncio.wait({writing, reading}, return_when=asyncio.FIRST_COMPLETED)
--- a/embersill/net/clients.py
+++ b/embersill/net/clients.py
@@ -548,7 +548,7 @@
 
     def give_way_if_stalled(self, now: float) -> None:
         """Frees the body of a request of which nothing more comes, as memory is short."""
-        is_waiting = self.in_request and self.upload is None and not (self.read_paused or self.input_ended)
+        is_waiting = self.is_incomplete() and not self.read_paused
         if is_waiting and self.body.data and now - self.last_read_at > STALLED_AFTER:
             self.refuse_request()
 
--- a/embersill/net/handover.py
+++ b/embersill/net/handover.py
@@ -25,9 +25,9 @@
 from embersill.net.driver import Driver
 from embersill.net.lameduck import LameDuck
 from embersill.net.memory import MB
-from embersill.start_gate import MESSAGE_VERSION as VERSION
-from embersill.start_gate import SOCKET_NAME
 from embersill.net.overload import OverloadManager
+from embersill.start_gate import MESSAGE_VERSION as VERSION
+from embersill.start_gate import SOCKET_NAME, connect_in, path_in
 
 STATE_FILE_NAME = "embersill.state"
 MAX_MESSAGE_SIZE = 4096  # bytes: the id of a backend is the longest part of a message
@@ -203,25 +203,18 @@
         self.listener: socket.socket | None = None
 
     def path(self, name: str) -> str:
-        return f"/proc/self/fd/{self.directory}/{name}"
+        return path_in(self.directory, name)
 
     # as the successor
 
     def connect_to_predecessor(self) -> bool:
         """Connects to a running process; returns False if there is none."""
-        if self.predecessor is not None:
-            self.channel = Channel(self.predecessor, self.on_message, self.on_peer_exited)
-            return True
-        if self.directory < 0:
+        if self.predecessor is None and self.directory >= 0:
+            self.predecessor = connect_in(self.directory)
+        if self.predecessor is None:
+            log.debug("no process to take over from")
             return False
-        sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
-        try:
-            sock.connect(self.path(SOCKET_NAME))
-        except OSError as error:  # there is no socket file, or only that of a killed process
-            log.debug("no process to take over from: %s", error)
-            sock.close()
-            return False
-        self.channel = Channel(sock, self.on_message, self.on_peer_exited)
+        self.channel = Channel(self.predecessor, self.on_message, self.on_peer_exited)
         return True
 
     async def take_over(self) -> bool:
--- a/embersill/start_gate.py
+++ b/embersill/start_gate.py
@@ -50,17 +50,27 @@
 
 def connect(directory: str) -> socket.socket | None:
     """Connects to the process that runs with this directory; None if there is none."""
-    connection = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
     try:
         folder = os.open(directory, os.O_DIRECTORY)
     except OSError:
-        connection.close()
         return None
     try:
-        connection.connect(f"/proc/self/fd/{folder}/{SOCKET_NAME}")  # the path of a socket must be short
+        return connect_in(folder)
+    finally:
+        os.close(folder)
+
+
+def path_in(folder: int, name: str) -> str:
+    """The path of a file in the folder of this descriptor: that of a socket must be short."""
+    return f"/proc/self/fd/{folder}/{name}"
+
+
+def connect_in(folder: int) -> socket.socket | None:
+    """As connect(), with the folder's descriptor; a socket file may also be that of a killed process."""
+    connection = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    try:
+        connection.connect(path_in(folder, SOCKET_NAME))
     except OSError:
         connection.close()
         return None
-    finally:
-        os.close(folder)
     return connection
--- a/tests/crowd_bed.py
+++ b/tests/crowd_bed.py
@@ -14,7 +14,7 @@
 from embersill.lab.soak.crowd import answer_size
 from embersill.lab.soak.gateway_process import GatewayProcess
 from embersill.lab.versions import REPO_ROOT
-from tests.incident_bed import ANSWER_LATENESS, SAMPLE_INTERVAL, anonymous_memory_mb
+from tests.incident_bed import ANSWER_LATENESS, SAMPLE_INTERVAL
 from tests.soak_bed import SoakBed
 
 SOUND_INTERVAL = 0.1  # seconds between the sound requests
@@ -44,7 +44,6 @@
 class Platform:
     """Watches the memory of the gateway's processes together, and kills them above the limit."""
 
-    bed: SoakBed
     limit_mb: float
     processes: list[GatewayProcess] = field(default_factory=list)
     peak_mb: float = 0.0
@@ -52,7 +51,7 @@
 
     async def watch(self) -> None:
         while True:
-            total = sum(anonymous_memory_mb(self.bed, process) for process in self.processes)
+            total = sum(process.anonymous_memory_mb() for process in self.processes)
             self.peak_mb = max(self.peak_mb, total)
             if total > self.limit_mb:
                 self.killed += 1
@@ -67,7 +66,7 @@
 
     def __init__(self, bed: SoakBed, limit_mb: float) -> None:
         self.bed = bed
-        self.platform = Platform(bed, limit_mb, [bed.gateway])
+        self.platform = Platform(limit_mb, [bed.gateway])
         self.sound: list[SoundRequest] = []
         self.asking: set[asyncio.Task[None]] = set()
         self.down: list[tuple[float, float]] = []  # when no process was ready, or one was ended
