--- a/review/9/case.py
+++ b/review/9/case.py
@@ -51,7 +51,7 @@
     if TROUBLE:
         bed.discovery.go_down()
     await until(UPGRADE_AT)
-    successor = gateway.successor()
+    successor, upgraded = gateway.successor(), bed.record.now()
     await successor.start()
     yes = bed.record.now()
     await gateway.stop_as_platform()
@@ -59,8 +59,8 @@
     if TROUBLE:
         bed.discovery.come_back()
     await asyncio.gather(*clients)
-    # from the old process's knowledge on, and, as it says yes, from the news of the new one on
-    at_old = [at for at, _, _ in drained.runs if told + GRACE < at < yes]
+    # by the old process up to the upgrade, and by the new one from the time on at which news counts as told
+    at_old = [at for at, _, _ in drained.runs if told + GRACE < at < upgraded]
     at_new = [at for at, _, _ in drained.runs if at > yes + NEWS_AFTER_YES + GRACE]
     bed.record.note(f"{drained.name} was told to be draining at {told:.3f}; yes of the new process at {yes:.3f}; "
                     f"{len(at_old)} sends before that, {len(at_new)} later than its news")
