Hand the list of backends over in an upgrade, and leave it for a process that comes later

Cause: the state that a successor gets has no list.

Fix: the predecessor hands its list over as a descriptor, before the state: that of a log in $TMPDIR, or of a file in memory where the folder fails. While both run, each tells the other what discovery tells it. A process that is handed nothing (predecessor killed, stopped, hung, closing, or awaited for its memory) reads the log. Of two lists the later one counts, by the monotonic times of the calls and by the generation where these overlap; that of a configuration only if its generation is above all that the gateway ever had. A damaged record is not used. Log and METRICS tell which list a process goes by, of which generation, from where and how old.

--- a/embersill/lab/scale/hollow.py
+++ b/embersill/lab/scale/hollow.py
@@ -115,9 +115,10 @@
 
     on_list_call: Callable[[], None]  # called before each call of the list service
 
-    async def deliver(self, listing: Listing) -> None:
+    async def deliver(self, listing: Listing) -> bool:
         """Passes a list on to the gateway."""
         self.feed.on_list(listing)
+        return True
 
     async def call(self) -> Listing:
         self.on_list_call()
--- a/embersill/net/discovery.py
+++ b/embersill/net/discovery.py
@@ -16,14 +16,18 @@
 import asyncio
 import logging
 import random
+import time
 from collections import Counter as Tally
 from collections.abc import Callable, Iterable, Sequence
+from dataclasses import replace
+from math import inf
 from typing import cast
 
 import httptools
 
 from embersill.net.framing import AnswerFeeder, BadFraming, FramingFields
 from embersill.net.list_feed import ListFeed, ListReader
+from embersill.net.list_position import ListPosition, ListSource, ListStatus
 from embersill.net.listing import Address, InvalidList, Entry, Listing
 
 # seconds between the starts of successive calls, at most, if the first one gets no answer: of the 6 s after
@@ -78,6 +82,10 @@
     """A replica behind its leader: the gateway's list is newer."""
 
 
+class AnswerSuperseded(Exception):
+    """While a call was pending, a newer list came from the other process of an upgrade."""
+
+
 class DiscoveryConnection(asyncio.Protocol):
     """One connection to discovery; a call's future ends with the body of its answer or with an error."""
 
@@ -225,6 +233,13 @@
         self.generation = known  # that the next call names; None asks for the full list
         self.newest_generation = known or 0  # generation of the gateway's list
         self.last_list_was_older = False  # the last answer's generation was lower than that
+        self.position = ListPosition(known or 0, known or 0, self.addresses)  # of the gateway's list
+        self.source = ListSource.CONFIGURATION  # of the gateway's list
+        self.source_logged = False
+        self.requested_at = self.received_at = 0.0  # of the last answer, by the monotonic clock
+        self.adopted_at = -inf  # when a list of another process was adopted, by the same clock
+        # called with the position once an answer is delivered completely, and the generation before it
+        self.on_delivered: Callable[[ListPosition, int], None] = lambda position, base: None
         self.loop = asyncio.get_running_loop()
         self.current_at = self.loop.time()  # when the list was last known to be current
         self.random = random.Random(seed)
@@ -254,6 +269,53 @@
         """Seconds since the list was last known to be current."""
         return self.loop.time() - self.current_at
 
+    def list_status(self) -> ListStatus:
+        """The list in use, for operators."""
+        age = None if self.position.received_at is None else self.list_age()
+        return ListStatus(self.position.generation, self.source, age)
+
+    def describe_list(self) -> str:
+        """The list in use and the discovery that made it, for the log."""
+        where = ",".join(f"{host}:{port}" for host, port in self.position.discovery)
+        return f"{self.list_status()}, made by {where}"
+
+    def adopt(self, position: ListPosition, source: ListSource) -> None:
+        """Goes by a list of another process of this gateway; the feed has been given its entries."""
+        comparable = position.shares_discovery(self.addresses)
+        self.generation = position.generation if comparable else None
+        self.newest_generation = position.generation if comparable else 0
+        self.last_list_was_older = False
+        if position.shares_discovery(self.position.discovery):
+            position = replace(position, highest=max(position.highest, self.position.highest))
+        self.position = position
+        self.adopted_at = time.monotonic()
+        age = position.age()
+        if age is not None:
+            self.current_at = self.loop.time() - age
+        self.set_source(source)
+
+    def set_source(self, source: ListSource) -> None:
+        """Notes, and logs if it changes, how this process got the list that it goes by.
+
+        A list that a new process gets from discovery at once is the usual case, which is not logged.
+        """
+        if source is self.source:
+            return
+        self.source = source
+        if source is not ListSource.DISCOVERY or self.source_logged:
+            self.log_source()
+
+    def log_source(self) -> None:
+        self.source_logged = True
+        log.info("this process goes by %s", self.describe_list())
+
+    def advance(self, listing: Listing) -> None:
+        """Goes by an answer of discovery from now on."""
+        self.generation = self.newest_generation = listing.generation
+        self.position = self.position.advanced(
+            listing.generation, self.addresses, self.requested_at, self.received_at)
+        self.set_source(ListSource.DISCOVERY)
+
     async def run(self) -> None:
         """Watches the list, without a pause after an answer that has changes.
 
@@ -264,6 +326,8 @@
             self.addresses_changed.clear()
             try:
                 listing = await self.call()
+            except AnswerSuperseded:
+                continue
             except (OSError, TimeoutError, InvalidList, Overloaded, ReplicaLagging, ValueError) as error:
                 if not self.addresses_changed.is_set():
                     await self.pause(self.handle_failure(error))
@@ -274,8 +338,10 @@
             if self.failing:
                 log.info("discovery answers again")
             self.failing = False
-            self.generation = self.newest_generation = listing.generation
-            await self.deliver(listing)
+            base = self.position.generation
+            self.advance(listing)
+            if await self.deliver(listing):
+                self.on_delivered(self.position, base)
             self.has_responded.set()
             if self.address_index and self.loop.time() >= self.failback_at:
                 await self.fail_back()
@@ -287,13 +353,17 @@
         early = self.loop.time() - self.last_call_at < self.watch_wait / 2.0
         return early and not (listing.is_full or listing.entries)
 
-    async def deliver(self, listing: Listing) -> None:
-        """Delivers a list to the gateway; an error there must not end the watch."""
+    async def deliver(self, listing: Listing) -> bool:
+        """Delivers a list to the gateway; an error there must not end the watch.
+
+        Returns False if it was not delivered completely.
+        """
         try:
-            await self.feed.deliver(listing)
+            return await self.feed.deliver(listing)
         except Exception:
             log.exception("applying list %d failed: requesting the full list", listing.generation)
             self.generation, self.feed.needs_full_list = None, True
+            return False
 
     def reject_older(self, listing: Listing) -> None:
         """Raises InvalidList for a list older than the current one; the full list is requested next.
@@ -359,6 +429,7 @@
             self.watch_wait = wait if watches else 0.0
         self.figures["list asked"] += 1
         self.last_call_at = self.loop.time()
+        requested_at = time.monotonic()
         async with asyncio.timeout(wait + self.answer_timeout(wait)) as limit:
             if self.connection is not None and not self.connection.is_open():
                 # like a close during the call: discovery may be down, and a watch would find out late
@@ -375,9 +446,12 @@
                 body = await connection.request(target, f"{self.address[0]}:{self.address[1]}")
             finally:
                 connection.on_progress = lambda size: None
+        received_at = time.monotonic()
         if not connection.keep_alive:
             self.disconnect()
         listing = await self.reader.read(body)
+        if listing.generation < self.newest_generation and requested_at < self.adopted_at:
+            raise AnswerSuperseded
         if (
             len(self.addresses) > 1
             and listing.generation < self.newest_generation
@@ -388,6 +462,7 @@
                 f"{where} is at list {listing.generation}, the gateway at {self.newest_generation}")
         self.reject_older(listing)
         self.current_at = self.loop.time() - connection.lag
+        self.requested_at, self.received_at = requested_at - connection.lag, received_at
         return listing
 
     def answer_timeout(self, wait: float) -> float:
--- a/embersill/net/driver.py
+++ b/embersill/net/driver.py
@@ -27,6 +27,7 @@
 from embersill.net.backends import AttemptResult, Attempt, Dialer
 from embersill.net.bodies import Sink, Upload
 from embersill.net.counter import CounterClient
+from embersill.net.list_position import ListStatus
 from embersill.net.listing import Listing
 from embersill.net.figures import Figures
 from embersill.net.memory import MB, UNCHARGED_SIZE, Account, MemoryBudget
@@ -146,7 +147,7 @@
         self.trace: Trace | None = None
         self.overload: OverloadManager | None = None
         self.list_figures: Tally[str] = Tally()
-        self.list_age: Callable[[], float] | None = None  # in seconds; set if discovery has several addresses
+        self.list_status: Callable[[], ListStatus] | None = None
         self.report_timer = self.loop.call_later(REPORT_INTERVAL, self.log_figures)
         self.action_handlers: dict[type, Callable[..., None]] = {
             Send: self.send, SetTimer: self.set_timer, Refuse: self.refuse, Fail: self.fail,
@@ -512,10 +513,10 @@
             given_up, self.pool.figures + self.list_figures + self.loop_lag.counts)
         if text:
             listed, down = len(self.gateway.servers), self.gateway.count_unavailable()
-            age = f", list {self.list_age():.0f} s old" if self.list_age else ""
+            status = f", {self.list_status()}" if self.list_status else ""
             connections, idle = len(self.pool.connections), self.pool.idle_count()
             log.info("%s; open %d, connections %d, idle %d, listed %d, down %d%s%s",
-                     text, self.unanswered, connections, idle, listed, down, age, self.memory_figures())
+                     text, self.unanswered, connections, idle, listed, down, status, self.memory_figures())
         self.gateway.given_up.clear()
 
     def memory_figures(self) -> str:
@@ -526,7 +527,12 @@
 
     def metrics(self) -> str:
         """Returns the present figures as JSON, for the console."""
-        more = {"list_age_s": round(self.list_age())} if self.list_age else {}
+        more: dict[str, int | str] = {}
+        if self.list_status is not None:
+            status = self.list_status()
+            more = {"list_generation": status.generation, "list_source": status.source.value}
+            if status.age is not None:
+                more["list_age_s"] = round(status.age)
         if self.overload is not None:
             more["memory_bytes"] = self.overload.anonymous
         pool = {name.replace(" ", "_"): number for name, number in sorted(self.pool.figures.items())}
--- a/embersill/net/figures.py
+++ b/embersill/net/figures.py
@@ -32,6 +32,6 @@
         self.last_reported = totals
         return ", ".join(f"{name} {number}" for name, number in sorted(changes.items()))
 
-    def to_json(self, **gauges: int) -> str:
+    def to_json(self, **gauges: int | str) -> str:
         """Returns the requests by result, and `gauges`, as one JSON object."""
         return json.dumps({**self.requests_by_result, **gauges}, separators=(",", ":"))
--- a/embersill/net/handover.py
+++ b/embersill/net/handover.py
@@ -24,6 +24,7 @@
 from embersill.net.clients import ClientConnection, ConnectionHistory, ClientServer
 from embersill.net.driver import Driver
 from embersill.net.lameduck import LameDuck
+from embersill.net.list_exchange import ListExchange
 from embersill.net.memory import MB
 from embersill.net.overload import OverloadManager
 from embersill.start_gate import MESSAGE_VERSION as VERSION
@@ -182,9 +183,9 @@
 
     def __init__(
         self, directory: str | None, driver: Driver, front: ClientServer, lame_duck: LameDuck,
-        overload: OverloadManager, predecessor: socket.socket | None = None,
+        overload: OverloadManager, lists: ListExchange, predecessor: socket.socket | None = None,
     ) -> None:
-        self.predecessor = predecessor
+        self.predecessor, self.lists = predecessor, lists
         self.driver, self.front, self.lame_duck, self.overload = driver, front, lame_duck, overload
         self.console_address = ""  # of this process, as host:port
         self.successor_console = ""  # console address of the successor, or of one that came too late
@@ -220,7 +221,7 @@
     async def take_over(self) -> bool:
         """Asks the predecessor to hand over; returns False if it did not in time."""
         if self.channel is None or not self.channel.send(
-            {"say": "take", "console": self.console_address, "runs": True, **self.memory_use()}
+            {"say": "take", "console": self.console_address, "runs": True, "lists": True, **self.memory_use()}
         ):
             return False
         try:
@@ -228,19 +229,26 @@
                 return await self.take_over_result
         except TimeoutError:
             if self.channel is not None:
+                log.warning("the predecessor did not hand over in %.1f s", TAKE_OVER_TIMEOUT)
                 self.channel.close()
                 self.channel = None
             return False
 
-    def restore_suspensions(self) -> None:
-        """Restores the suspensions, made by operators, from the state file; used if there is no hand-over."""
+    def restore_from_files(self) -> None:
+        """Restores the list and the operators' suspensions from files; used if there is no hand-over."""
+        self.lists.read_log()
         self.driver.load_predecessor_state({"banned": self.read_state().get("banned", [])})
 
     def accept_hand_over(self, message: Message, descriptors: list[int]) -> None:
-        """Takes over with the descriptors of the listener and, from newer versions, of the state."""
+        """Takes over with the descriptors of the listener and, from newer versions, of the state and list."""
         self.set_peer_connections(message)
         self.share_memory(message)
         self.peer_knows_runs = bool(message.get("runs"))
+        self.share_lists(message)
+        if len(descriptors) > 2:  # before the state, which is of the backends that are listed
+            self.lists.take_over(descriptors[2])
+        else:
+            self.lists.note_no_list()
         state = read_memory_file(descriptors[1]) if len(descriptors) > 1 else {}
         self.driver.load_predecessor_state(self.add_clock_offset(state or self.read_state()))
         self.front.listen_on(socket.socket(fileno=descriptors[0]))
@@ -262,6 +270,13 @@
         predecessor_now = float(state["now"]) + time.monotonic() - float(state["monotonic"])
         return {**state, "clock_ahead": self.driver.clock() - predecessor_now}
 
+    def share_lists(self, message: Message) -> None:
+        """Passes lists on from now on, unless the other process is of a version that does not take them."""
+        self.lists.send = self.send_list if message.get("lists") else None
+
+    def send_list(self, descriptor: int) -> bool:
+        return self.channel is not None and self.channel.send({"say": "list"}, descriptor)
+
     def set_peer_connections(self, message: Message) -> None:
         """Counts the other process's open connections against the limits, which the two share."""
         self.front.held_by_predecessor, self.driver.pool.held_by_predecessor = (
@@ -350,7 +365,7 @@
             return
         self.successor_console = successor_console
         if self.front.stopping or listener is None:  # this process accepts the last clients itself, and exits
-            self.channel.send({"say": "closing"})
+            self.channel.send({"say": "closing", "lists": True})
             return
         self.handed_over = True
         self.driver.memory.set_shared(True)
@@ -361,9 +376,13 @@
         message = {"say": "given", **self.connection_counts(), "lame_duck": self.lame_duck.remaining(),
                    "runs": True, **self.memory_use()}
         memory_file = create_memory_file(serialize_state(state))
-        sent = self.channel.send(message, listener.fileno(), *([] if memory_file < 0 else [memory_file]))
-        if memory_file >= 0:
-            os.close(memory_file)
+        files = [] if memory_file < 0 else [memory_file]
+        if files and self.lists.send is not None:
+            list_copy = self.lists.hand_over()
+            files += [] if list_copy < 0 else [list_copy]
+        sent = self.channel.send({**message, "lists": True}, listener.fileno(), *files)
+        for descriptor in files:
+            os.close(descriptor)
         if not sent:
             return self.resume_serving()
         self.lame_duck.stop_timer()
@@ -392,6 +411,8 @@
         """Serves on with the remaining units, as the successor exited before this process was stopped."""
         log.warning("the successor has exited: this process serves on")
         self.handed_over, self.front.send_to_successor, self.successor_console = False, None, ""
+        self.lists.send = None
+        self.lists.start_log()
         self.driver.memory.set_shared(False)
         self.driver.pool.keeps_idle = True
         self.driver.cancel_hand_over()
@@ -408,10 +429,12 @@
             case "take":
                 self.peer_knows_runs = bool(message.get("runs"))
                 self.share_memory(message)
+                self.share_lists(message)
                 self.hand_over(str(message.get("console", "")))
             case "given":
                 self.accept_hand_over(message, descriptors)
             case "closing":
+                self.share_lists(message)
                 if not self.take_over_result.done():
                     self.take_over_result.set_result(False)
             case "lame duck":
@@ -427,6 +450,8 @@
                 pass  # sent before this process had loaded the program
             case "memory":
                 self.overload.set_other(float(message["memory"]))
+            case "list":
+                self.lists.receive(descriptors[0])
             case "ran":
                 self.driver.post(read_run(message))
             case "suspend":
@@ -478,7 +503,7 @@
 
     def on_peer_exited(self) -> None:
         """Serves on, or takes over the limits, as the other process has exited."""
-        self.channel = None
+        self.channel, self.lists.send = None, None
         self.overload.set_other(0.0)
         for confirmation in self.pending_confirmations.values():
             if not confirmation.done():
@@ -537,6 +562,7 @@
     def close(self) -> None:
         if self.memory_timer is not None:
             self.memory_timer.cancel()
+        self.lists.close()
         if self.channel is not None:
             self.channel.close()
         self.stop_listening()
--- /dev/null
+++ b/embersill/net/list_exchange.py
@@ -0,0 +1,220 @@
+"""What the processes of one gateway tell each other of the backend list.
+
+While two processes run in an upgrade, each tells the other what it gets from discovery, so that both obey the
+newest list that either of them has. For a process that comes after this one's end, the list is kept in a log.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, replace
+
+from embersill.interface import ListKind
+from embersill.net.discovery import Discovery
+from embersill.net.list_feed import changed_entries
+from embersill.net.list_log import (
+    ListLog, ListLogReader, ListRecord, decode_records, encode_snapshot, merge_records, read_all,
+    write_memory_file,
+)
+from embersill.net.list_position import (
+    ListPosition, ListSnapshot, ListSource, choose_predecessor_list,
+)
+from embersill.net.listing import Address, Entry, Listing
+
+RESEND_DELAY = 0.05  # seconds until the whole list is sent, after a change could not be sent
+
+log = logging.getLogger("embersill")
+
+
+def is_of_this_gateway(position: ListPosition, addresses: Iterable[Address]) -> bool:
+    """Whether a log that was found belongs to a gateway that follows this discovery."""
+    return position.shares_discovery(addresses)
+
+
+@dataclass(frozen=True, slots=True)
+class InitialList:
+    """What a process starts with, before it talks to discovery or to its predecessor."""
+
+    snapshot: ListSnapshot
+    source: ListSource
+
+    def listing(self) -> Listing:
+        return Listing(
+            ListKind.CACHED, self.snapshot.position.generation, tuple(self.snapshot.entries.values()))
+
+
+def choose_initial_list(
+    known: Listing, addresses: tuple[Address, ...], logged: ListSnapshot | None
+) -> InitialList:
+    """Chooses between the configuration's list and the one that an earlier process has logged.
+
+    addresses: of the discovery to follow
+    """
+    generation = known.generation if known.entries else 0
+    own = ListPosition(generation, generation, addresses)
+    if logged is not None and is_of_this_gateway(logged.position, addresses):
+        if choose_predecessor_list(logged.position, own, addresses):
+            return InitialList(logged, ListSource.LIST_LOG)
+    entries = {entry.backend.address: entry for entry in known.entries}
+    return InitialList(ListSnapshot(own, entries), ListSource.CONFIGURATION)
+
+
+class ListExchange:
+    """Shares the list in use with the other process of an upgrade, and keeps it for a next one.
+
+    send: sends a descriptor of records to the other process, which takes them; returns False if that failed.
+        None while there is no such process
+    """
+
+    def __init__(self, discovery: Discovery, directory: str | None, reader: ListLogReader) -> None:
+        """`reader`: of the log in the directory, as far as it has been read at the start."""
+        self.discovery, self.directory, self.reader = discovery, directory, reader
+        self.log = ListLog(directory, discovery.feed.delivered)
+        self.position = discovery.position  # of the last list that was delivered completely
+        self.unfinished: list[ListRecord] = []  # parts of a list that is being delivered
+        self.send: Callable[[int], bool] | None = None
+        self.resend_timer: asyncio.TimerHandle | None = None
+        discovery.feed.on_part, discovery.on_delivered = self.on_part, self.on_delivered
+
+    # from discovery
+
+    def on_part(self, is_full: bool, entries: tuple[Entry, ...]) -> None:
+        """Records a part of a list that has been delivered to the gateway."""
+        if entries or is_full:
+            record = ListRecord(entries, is_full)
+            self.unfinished.append(record)
+            self.log.append(record)
+
+    def on_delivered(self, position: ListPosition, base: int) -> None:
+        """Tells the other process of an answer of discovery that changed the list, and logs it."""
+        records = self.finish(position, base)
+        if records and self.send is not None:
+            self.send_records(merge_records(records).encode())
+
+    def finish(self, position: ListPosition, base: int) -> list[ListRecord]:
+        """Logs the position after a change; returns the change, [] if there is none."""
+        is_same = replace(
+            position, requested_at=self.position.requested_at, received_at=self.position.received_at
+        ) == self.position
+        self.position = self.log.position = position
+        if is_same and not self.unfinished:
+            return []
+        last = ListRecord(position=position, base=base)
+        self.log.append(last)
+        records = [*self.unfinished, last]
+        self.unfinished.clear()
+        return records
+
+    # to and from the other process
+
+    def send_records(self, text: bytes) -> None:
+        if self.send is None:
+            return
+        descriptor = write_memory_file(text)
+        sent = descriptor >= 0 and self.send(descriptor)
+        if descriptor >= 0:
+            os.close(descriptor)
+        if not sent and self.resend_timer is None:
+            self.resend_timer = asyncio.get_running_loop().call_later(RESEND_DELAY, self.resend)
+
+    def resend(self) -> None:
+        """Sends the whole list, as a change could not be sent."""
+        self.resend_timer = None
+        snapshot = ListSnapshot(self.position, self.discovery.feed.delivered)
+        self.send_records(encode_snapshot(snapshot))
+
+    def receive(self, descriptor: int) -> None:
+        """Applies what the other process has got from discovery, if it is newer than the list in use."""
+        try:
+            records, _ = decode_records(read_all(descriptor))
+        except OSError as error:
+            return log.warning("a list of the other process is unusable: %s", error)
+        finally:
+            os.close(descriptor)
+        change, own = merge_records(records), self.discovery.position
+        position = change.position
+        if position is None or not position.shares_discovery(self.discovery.addresses):
+            return None
+        if own.shares_discovery(position.discovery) and not position.is_newer_than(own):
+            return None
+        if change.is_full:
+            entries = {entry.backend.address: entry for entry in change.entries}
+            return self.adopt(ListSnapshot(position, entries), ListSource.PEER)
+        self.discovery.feed.change(position.generation, change.entries)
+        # changes since a list that this process does not have leave its position where it was
+        if own.generation == change.base or change.base < own.generation < position.generation:
+            # what discovery tells one process, it tells the other as well: both go by discovery
+            is_direct = self.discovery.source is ListSource.DISCOVERY
+            self.discovery.adopt(position, ListSource.DISCOVERY if is_direct else ListSource.PEER)
+            if not self.discovery.feed.is_delivering:
+                self.finish(self.discovery.position, own.generation)
+        return None
+
+    def adopt(self, snapshot: ListSnapshot, source: ListSource) -> None:
+        """Goes by a list of another process from now on."""
+        base = self.position.generation
+        self.discovery.feed.replace(snapshot.position.generation, snapshot.entries)
+        self.discovery.adopt(snapshot.position, source)
+        self.finish(self.discovery.position, base)
+
+    # as the successor
+
+    def take_over(self, descriptor: int) -> None:
+        """Goes by the predecessor's list if that is the newer one; else tells it what has changed since."""
+        snapshot = self.reader.read(descriptor)
+        if snapshot is None:
+            return self.note_no_list()
+        if not self.choose(snapshot, ListSource.PEER):
+            asyncio.get_running_loop().call_soon(self.send_difference, snapshot)
+        return None
+
+    def read_log(self) -> None:
+        """Goes by what the predecessor has logged, as it hands nothing over, if that is newer."""
+        snapshot = self.reader.read_from(self.directory) if self.directory else None
+        if snapshot is not None and is_of_this_gateway(snapshot.position, self.discovery.addresses):
+            self.choose(snapshot, ListSource.LIST_LOG)
+
+    def choose(self, snapshot: ListSnapshot, source: ListSource) -> bool:
+        """Adopts a predecessor's list if that is the newer one; returns whether it is."""
+        own, addresses = self.discovery.position, self.discovery.addresses
+        if not choose_predecessor_list(snapshot.position, own, addresses):
+            return False
+        self.adopt(snapshot, source)
+        return True
+
+    def note_no_list(self) -> None:
+        """Logs that the predecessor, maybe of an older version, has handed over no list."""
+        log.warning(
+            "the predecessor hands over no list: this process goes by %s", self.discovery.describe_list())
+
+    def send_difference(self, snapshot: ListSnapshot) -> None:
+        """Tells the predecessor what its list lacks."""
+        own = self.position
+        if self.send is None or own.generation == snapshot.position.generation:
+            return
+        changed = changed_entries(snapshot.entries, self.discovery.feed.delivered, True)
+        self.send_records(
+            ListRecord(tuple(changed), position=own, base=snapshot.position.generation).encode())
+
+    # as the predecessor, and without another process
+
+    def start_log(self) -> None:
+        """Keeps the list for a next process from now on."""
+        self.log.start(self.position)
+
+    def hand_over(self) -> int:
+        """Returns a descriptor to read the list from, or -1; the log is the successor's from now on."""
+        self.log.position = self.position
+        descriptor = self.log.open_copy()
+        self.log.stop()
+        return descriptor
+
+    def close(self) -> None:
+        self.send = None
+        if self.resend_timer is not None:
+            self.resend_timer.cancel()
+            self.resend_timer = None
+        self.log.stop()
--- a/embersill/net/list_feed.py
+++ b/embersill/net/list_feed.py
@@ -10,7 +10,7 @@
 
 import asyncio
 import json
-from collections.abc import AsyncIterator, Callable, Iterable
+from collections.abc import AsyncIterator, Callable, Iterable, Mapping
 from dataclasses import replace
 from functools import lru_cache
 from typing import TYPE_CHECKING, Any
@@ -81,30 +81,54 @@
         self.on_list = on_list
         self.delivered = {entry.backend.address: entry for entry in known}  # what the gateway has, by name
         self.needs_full_list = False  # a delivery failed: the next full list is delivered unreduced
-
-    async def deliver(self, listing: Listing) -> None:
-        """Delivers a list; for a full one also the removal of the backends that it leaves out."""
+        self.deliveries = 0  # started so far
+        self.is_delivering = False  # a list has been delivered in part
+        self.overridden: set[str] = set()  # backends changed by `change` while a list is being delivered
+        # called after each part with its entries, and whether the list has no others
+        self.on_part: Callable[[bool, tuple[Entry, ...]], None] = lambda is_full, entries: None
+
+    async def deliver(self, listing: Listing) -> bool:
+        """Delivers a list; for a full one also the removal of the backends that it leaves out.
+
+        Returns False if another list has been delivered in the meantime: the rest of this one is dropped.
+        """
+        self.deliveries += 1
+        number = self.deliveries
+        self.overridden.clear()
         if self.needs_full_list or max(
             len(listing.entries), len(self.delivered) if listing.is_full else 0
         ) <= SLICE_ENTRIES:
             self.deliver_part(listing.kind, listing.generation, listing.entries)
             self.needs_full_list = self.needs_full_list and not listing.is_full
-            return
+            return True
         # the last of several entries for one backend counts
         named = {entry.backend.address: entry for entry in listing.entries}
-        new = [entry for address, entry in named.items() if self.delivered.get(address) != entry]
-        if listing.is_full:
-            new += [
-                replace(entry, backend=replace(entry.backend, status=BackendStatus.REMOVED))
-                for address, entry in self.delivered.items()
-                if address not in named
-            ]
-        # draining and removed ones first
-        new.sort(key=lambda entry: entry.backend.status is BackendStatus.SERVING)
+        new = changed_entries(self.delivered, named, listing.is_full)
         for first in range(0, max(len(new), 1), SLICE_ENTRIES):
             if first:
                 await asyncio.sleep(0)
-            self.deliver_part(ListKind.CHANGES, listing.generation, tuple(new[first : first + SLICE_ENTRIES]))
+            if number != self.deliveries:
+                return False
+            part = [e for e in new[first : first + SLICE_ENTRIES] if e.backend.address not in self.overridden]
+            self.is_delivering = first + SLICE_ENTRIES < len(new)
+            self.deliver_part(ListKind.CHANGES, listing.generation, tuple(part))
+        return True
+
+    def replace(self, generation: int, entries: Mapping[str, Entry]) -> None:
+        """Delivers a whole list at once; one that is being delivered is dropped."""
+        self.deliveries += 1
+        self.is_delivering = False
+        if self.needs_full_list:
+            self.deliver_part(ListKind.FULL, generation, tuple(entries.values()))
+            self.needs_full_list = False
+        else:
+            new = changed_entries(self.delivered, entries, True)
+            self.deliver_part(ListKind.CHANGES, generation, tuple(new))
+
+    def change(self, generation: int, entries: tuple[Entry, ...]) -> None:
+        """Delivers changes at once; they go before the rest of a list that is being delivered."""
+        self.overridden.update(entry.backend.address for entry in entries)
+        self.deliver_part(ListKind.CHANGES, generation, entries)
 
     def deliver_part(self, kind: ListKind, generation: int, entries: tuple[Entry, ...]) -> None:
         """Records the entries as delivered and calls `on_list` with them."""
@@ -116,3 +140,22 @@
             else:
                 self.delivered[entry.backend.address] = entry
         self.on_list(Listing(kind, generation, entries))
+        self.on_part(kind is not ListKind.CHANGES, entries)
+
+
+def changed_entries(
+    present: Mapping[str, Entry], wanted: Mapping[str, Entry], is_full: bool
+) -> list[Entry]:
+    """The entries that turn one list into another, those of draining and removed backends first.
+
+    `is_full`: backends that `wanted` leaves out are removed.
+    """
+    changed = [entry for address, entry in wanted.items() if present.get(address) != entry]
+    if is_full:
+        changed += [
+            replace(entry, backend=replace(entry.backend, status=BackendStatus.REMOVED))
+            for address, entry in present.items()
+            if address not in wanted
+        ]
+    changed.sort(key=lambda entry: entry.backend.status is BackendStatus.SERVING)
+    return changed
--- a/embersill/program.py
+++ b/embersill/program.py
@@ -28,6 +28,9 @@
 from embersill.net.driver import Driver
 from embersill.net.handover import Handover
 from embersill.net.lameduck import LameDuck
+from embersill.net.list_exchange import ListExchange, choose_initial_list
+from embersill.net.list_log import ListLogReader
+from embersill.net.list_position import ListSource
 from embersill.net.list_feed import SLICE_ENTRIES, list_decoder
 from embersill.net.memory import MB, plan_budget
 from embersill.net.overload import OverloadManager
@@ -193,21 +196,12 @@
         self.driver.use_trace(make_trace(os.environ, clock))
         self.aggregators = configuration.aggregators
         self.driver.counter = self.make_counter(configuration)
-        self.driver.on_list(configuration.known)
-        version = configuration.known.generation if configuration.known.entries else None
-        self.discovery = Discovery(
-            configuration.discovery, configuration.limits.dial_timeout, self.driver.on_list, version,
-            configuration.seed, configuration.settings.gateways,
-            configuration.limits.grace if configuration.settings.list_pushed else None,
-            configuration.known.entries)
-        if len(configuration.known.entries) > SLICE_ENTRIES:
-            list_decoder()  # loaded now, so that the first long list is not delayed
+        self.make_discovery(configuration)
         self.driver.list_figures = self.discovery.figures
+        self.driver.list_status = self.discovery.list_status
         memory = max(configuration.memory_mb * MB - USED_MEMORY, 0)
         self.discovery.max_list_bytes = int(
             min(max(memory / LIST_MEMORY_FACTOR, MIN_LIST_BYTES), MAX_LIST_BYTES))
-        if len(configuration.discovery) > 1:
-            self.driver.list_age = self.discovery.list_age
         self.front = ClientServer(self.driver, configuration.settings, clock, clients, self.can_serve)
         self.process_memory = ProcessMemory()
         self.overload = OverloadManager(
@@ -218,7 +212,7 @@
         self.lame_duck = LameDuck(clock, self.front, self.stop_requested.set)
         self.handover = Handover(
             configuration.state_directory, self.driver, self.front, self.lame_duck, self.overload,
-            predecessor)
+            self.lists, predecessor)
         longest = max((c.deadline for c in configuration.settings.classes), default=MAX_COUNTED_DEADLINE)
         self.stop_timeout = min(longest, MAX_COUNTED_DEADLINE) + KILL_DELAY - KILL_MARGIN
         self.listen_address, self.console_address = configuration.listen, configuration.console
@@ -234,6 +228,24 @@
         self.discovery_task: asyncio.Task[None] | None = None
         self.list_settled = False  # the list is from discovery, or that was waited for long enough
 
+    def make_discovery(self, configuration: Configuration) -> None:
+        """Creates the client of discovery, which starts with the newest list that is known here."""
+        directory, reader = configuration.state_directory, ListLogReader()
+        initial = choose_initial_list(
+            configuration.known, configuration.discovery,
+            reader.read_from(directory) if directory else None)
+        entries, position = initial.snapshot.entries, initial.snapshot.position
+        self.driver.on_list(initial.listing())
+        self.discovery = Discovery(
+            configuration.discovery, configuration.limits.dial_timeout, self.driver.on_list,
+            position.generation if entries else None, configuration.seed, configuration.settings.gateways,
+            configuration.limits.grace if configuration.settings.list_pushed else None, entries.values())
+        if initial.source is ListSource.LIST_LOG:
+            self.discovery.adopt(position, initial.source)
+        if len(entries) > SLICE_ENTRIES:
+            list_decoder()  # loaded now, so that the first long list is not delayed
+        self.lists = ListExchange(self.discovery, directory, reader)
+
     def make_counter(self, configuration: Configuration) -> CounterClient | None:
         """Returns the client for counter calls, which go to aggregators if these are configured."""
         clock, timeout, dial_timeout = (
@@ -397,11 +409,14 @@
         except TimeoutError:
             pass
         if not has_predecessor or not await self.handover.take_over():
-            self.handover.restore_suspensions()
+            self.handover.restore_from_files()
             if has_predecessor:
                 await self.listen_for_clients()
         self.handover.listen()
         self.list_settled = True
+        if not (self.discovery.has_responded.is_set() or self.discovery.source_logged):
+            self.discovery.log_source()
+        self.lists.start_log()
         self.overload.start()
 
     def reload(self) -> None:
@@ -416,7 +431,6 @@
             return log.warning("the configuration stays as it was: %s", error)
         log.info(
             "discovery is now at %s", ",".join(f"{host}:{port}" for host, port in configuration.discovery))
-        self.driver.list_age = self.discovery.list_age if len(configuration.discovery) > 1 else None
         self.discovery.set_addresses(configuration.discovery)
         self.driver.change_settings(configuration.settings.pool, configuration.settings.aggregation)
         self.move_counter(configuration)
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -77,11 +77,13 @@
             names = [c["name"] for c in env["services"]]
             before = await figures(bed)
             assert before.pop("memory_bytes") >= 0
+            assert before.pop("list_age_s") in (0, 1)
             assert before == {
                 "success": dict.fromkeys(names, 0), "busy": dict.fromkeys(names, 0),
                 "failure": dict.fromkeys(names, 0),
                 "backend_calls": 0, "inflight": 0, "hosts_listed": 1, "hosts_down": 0,
-                "pool_connections": 0, "pool_idle": 0, "charged_bytes": 0}
+                "pool_connections": 0, "pool_idle": 0, "charged_bytes": 0,
+                "list_generation": 1, "list_source": "discovery"}
             client = await bed.client()
             bed.backends[0].script = [lambda writer, asked: writer.write(response_bytes(500))]
             assert (await client.ask(request(1, "extract", units="4")))[0] == 502
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -178,6 +178,6 @@
             assert lines == [
                 "attempt served 1, busy 2, gave up over quota 2, list asked 2, pool opened 1, pool waited 1,"
                 " success 1;"
-                " open 0, connections 1, idle 1, listed 1, down 0" + memory]
+                " open 0, connections 1, idle 1, listed 1, down 0, list 1 (discovery, 0 s old)" + memory]
 
     run(test)
