Keep to the discovery that SIGHUP named, over an upgrade and in both processes

A SIGHUP that reached one process of an upgrade left the other at the old address.

Cause: where discovery is, is told to a process by SIGHUP, and its successor had no part of it: the environment goes before the file, which is right for a first start only. The test of the successor that is left at the old address sends to a backend that drains after the outage; the log told the old address.

Fix: the position of a list says where SIGHUP has made the gateway look. A successor whose configuration file names that same place looks there, whatever its environment names. Either process passes SIGHUP on to the other, which reads the file again; that changes nothing where it has read it already.

Three tests with real processes fail on and pass with this: a list from the discovery that SIGHUP named, and SIGHUP to the predecessor or the successor only.

--- a/embersill/net/discovery.py
+++ b/embersill/net/discovery.py
@@ -287,7 +287,7 @@
         self.last_list_was_older = False
         if position.shares_discovery(self.position.discovery):
             position = replace(position, highest=max(position.highest, self.position.highest))
-        self.position = position
+        self.position = replace(position, reloaded_to=self.position.reloaded_to)
         self.adopted_at = time.monotonic()
         age = position.age()
         if age is not None:
@@ -508,6 +508,7 @@
         if tuple(addresses) != self.addresses:
             self.addresses, self.address_index = tuple(addresses), 0
             self.generation, self.newest_generation = None, 0
+            self.position = replace(self.position, reloaded_to=self.addresses)
             self.backoff, self.consecutive_timeouts = MIN_BACKOFF, 0
             self.addresses_changed.set()
             if self.connecting_timeout is not None:
--- a/embersill/net/handover.py
+++ b/embersill/net/handover.py
@@ -202,6 +202,7 @@
         # by backend: suspensions, or ends of one, that the other process has not confirmed
         self.pending_confirmations: dict[str, asyncio.Future[None]] = {}
         self.listener: socket.socket | None = None
+        self.on_reload: Callable[[], None] = lambda: None  # called as the other process has got SIGHUP
 
     def path(self, name: str) -> str:
         return path_in(self.directory, name)
@@ -452,6 +453,8 @@
                 self.overload.set_other(float(message["memory"]))
             case "list":
                 self.lists.receive(descriptors[0])
+            case "reload":
+                self.on_reload()
             case "ran":
                 self.driver.post(read_run(message))
             case "suspend":
@@ -472,6 +475,11 @@
         if self.channel is not None and self.peer_knows_runs:
             self.channel.send({"say": "ran", **asdict(run)})
 
+    def send_reload(self) -> None:
+        """Passes SIGHUP on: the other process may have been started before the file was replaced."""
+        if self.channel is not None and self.lists.send is not None:
+            self.channel.send({"say": "reload"})
+
     def send_lame_duck(self) -> None:
         """Passes the lame duck state on to the predecessor, which may have to serve on."""
         if self.channel is not None:
--- a/embersill/net/list_exchange.py
+++ b/embersill/net/list_exchange.py
@@ -31,13 +31,18 @@
 
 def is_of_this_gateway(position: ListPosition, addresses: Iterable[Address]) -> bool:
     """Whether a log that was found belongs to a gateway that follows this discovery."""
-    return position.shares_discovery(addresses)
+    addresses = set(addresses)
+    return position.shares_discovery(addresses) or not addresses.isdisjoint(position.reloaded_to)
 
 
 @dataclass(frozen=True, slots=True)
 class InitialList:
-    """What a process starts with, before it talks to discovery or to its predecessor."""
+    """What a process starts with, before it talks to discovery or to its predecessor.
 
+    addresses: of the discovery to follow
+    """
+
+    addresses: tuple[Address, ...]
     snapshot: ListSnapshot
     source: ListSource
 
@@ -47,19 +52,23 @@
 
 
 def choose_initial_list(
-    known: Listing, addresses: tuple[Address, ...], logged: ListSnapshot | None
+    known: Listing, addresses: tuple[Address, ...], file_addresses: tuple[Address, ...],
+    logged: ListSnapshot | None,
 ) -> InitialList:
     """Chooses between the configuration's list and the one that an earlier process has logged.
 
-    addresses: of the discovery to follow
+    addresses: of discovery, by the environment or the configuration file
+    file_addresses: of discovery, by the file; SIGHUP may have made the earlier process follow these
     """
+    if logged is not None and file_addresses and logged.position.reloaded_to == file_addresses:
+        addresses = file_addresses
     generation = known.generation if known.entries else 0
     own = ListPosition(generation, generation, addresses)
     if logged is not None and is_of_this_gateway(logged.position, addresses):
         if choose_predecessor_list(logged.position, own, addresses):
-            return InitialList(logged, ListSource.LIST_LOG)
+            return InitialList(addresses, logged, ListSource.LIST_LOG)
     entries = {entry.backend.address: entry for entry in known.entries}
-    return InitialList(ListSnapshot(own, entries), ListSource.CONFIGURATION)
+    return InitialList(addresses, ListSnapshot(own, entries), ListSource.CONFIGURATION)
 
 
 class ListExchange:
@@ -69,9 +78,16 @@
         None while there is no such process
     """
 
-    def __init__(self, discovery: Discovery, directory: str | None, reader: ListLogReader) -> None:
-        """`reader`: of the log in the directory, as far as it has been read at the start."""
+    def __init__(
+        self, discovery: Discovery, directory: str | None, reader: ListLogReader,
+        file_addresses: tuple[Address, ...],
+    ) -> None:
+        """`reader`: of the log in the directory, as far as it has been read at the start.
+
+        `file_addresses`: of discovery, by the configuration file.
+        """
         self.discovery, self.directory, self.reader = discovery, directory, reader
+        self.file_addresses = file_addresses
         self.log = ListLog(directory, discovery.feed.delivered)
         self.position = discovery.position  # of the last list that was delivered completely
         self.unfinished: list[ListRecord] = []  # parts of a list that is being delivered
@@ -108,6 +124,10 @@
         self.unfinished.clear()
         return records
 
+    def note_reload(self) -> None:
+        """Logs that SIGHUP has changed the addresses of discovery."""
+        self.finish(replace(self.position, reloaded_to=self.discovery.position.reloaded_to), 0)
+
     # to and from the other process
 
     def send_records(self, text: bytes) -> None:
@@ -167,6 +187,7 @@
         snapshot = self.reader.read(descriptor)
         if snapshot is None:
             return self.note_no_list()
+        self.follow_reload(snapshot.position)
         if not self.choose(snapshot, ListSource.PEER):
             asyncio.get_running_loop().call_soon(self.send_difference, snapshot)
         return None
@@ -185,6 +206,18 @@
         self.adopt(snapshot, source)
         return True
 
+    def follow_reload(self, predecessor: ListPosition) -> None:
+        """Follows the discovery that SIGHUP told the predecessor, if the configuration file still names it.
+
+        The environment may name the one before.
+        """
+        if not self.file_addresses or predecessor.reloaded_to != self.file_addresses:
+            return
+        if self.discovery.addresses != self.file_addresses:
+            log.info("discovery is the one that the predecessor was told by SIGHUP")
+            self.discovery.set_addresses(self.file_addresses)
+        self.discovery.position = replace(self.discovery.position, reloaded_to=self.file_addresses)
+
     def note_no_list(self) -> None:
         """Logs that the predecessor, maybe of an older version, has handed over no list."""
         log.warning(
--- a/embersill/net/list_log.py
+++ b/embersill/net/list_log.py
@@ -79,7 +79,8 @@
 def encode_position(position: ListPosition) -> dict[str, Any]:
     return {
         "generation": position.generation, "highest": position.highest, "discovery": position.discovery,
-        "requested_at": position.requested_at, "received_at": position.received_at}
+        "requested_at": position.requested_at, "received_at": position.received_at,
+        "reloaded_to": position.reloaded_to}
 
 
 def decode_position(message: dict[str, Any]) -> ListPosition:
@@ -92,7 +93,7 @@
 
     return ListPosition(
         int(message["generation"]), int(message["highest"]), addresses("discovery"),
-        moment("requested_at"), moment("received_at"))
+        moment("requested_at"), moment("received_at"), addresses("reloaded_to"))
 
 
 def decode_record(line: bytes) -> ListRecord:
--- a/embersill/net/list_position.py
+++ b/embersill/net/list_position.py
@@ -34,6 +34,7 @@
     discovery: addresses of the discovery that it comes from
     requested_at, received_at: seconds of the monotonic clock; discovery made the list between the two. None
         for a list of the configuration, whose age is unknown
+    reloaded_to: addresses that SIGHUP made the gateway follow; empty if there was none
     """
 
     generation: int
@@ -41,6 +42,7 @@
     discovery: tuple[Address, ...]
     requested_at: float | None = None
     received_at: float | None = None
+    reloaded_to: tuple[Address, ...] = ()
 
     def age(self) -> float | None:
         """Seconds since discovery was known to have this list; None if unknown."""
--- a/embersill/program.py
+++ b/embersill/program.py
@@ -91,6 +91,7 @@
     name: str
     listen: tuple[str, int]
     discovery: tuple[Address, ...]  # the first is preferred
+    file_discovery: tuple[Address, ...]  # by the file, () if it names none; the environment goes before it
     counter: tuple[str, int] | None
     console: tuple[str, int] | None
     seed: int
@@ -138,6 +139,7 @@
         name=str(environ.get("RELAY_NAME") or parsed["name"]),
         listen=read_address(environ.get("RELAY_LISTEN") or parsed["listen"]),
         discovery=read_addresses(environ.get("RELAY_DISCOVERY") or parsed["discovery"]),
+        file_discovery=read_file_discovery(parsed),
         counter=counter, console=read_address(console) if console else None,
         seed=int(parsed["seed"], 16), sockets=sockets,
         memory_mb=float(parsed["limits"].get("memory_mb", DEFAULT_MEMORY_MB)),
@@ -147,6 +149,14 @@
     )
 
 
+def read_file_discovery(parsed: dict[str, Any]) -> tuple[Address, ...]:
+    """Returns the addresses of discovery by the file; () where it has none that can be used."""
+    try:
+        return read_addresses(parsed["discovery"])
+    except (KeyError, ValueError, TypeError, AttributeError):
+        return ()
+
+
 def read_aggregators(settings: Settings) -> tuple[Address, ...]:
     """Returns the addresses of the aggregators' list service, () if none is configured."""
     if settings.aggregation is None or not settings.aggregation.directory:
@@ -213,6 +223,7 @@
         self.handover = Handover(
             configuration.state_directory, self.driver, self.front, self.lame_duck, self.overload,
             self.lists, predecessor)
+        self.handover.on_reload = self.reload
         longest = max((c.deadline for c in configuration.settings.classes), default=MAX_COUNTED_DEADLINE)
         self.stop_timeout = min(longest, MAX_COUNTED_DEADLINE) + KILL_DELAY - KILL_MARGIN
         self.listen_address, self.console_address = configuration.listen, configuration.console
@@ -232,19 +243,19 @@
         """Creates the client of discovery, which starts with the newest list that is known here."""
         directory, reader = configuration.state_directory, ListLogReader()
         initial = choose_initial_list(
-            configuration.known, configuration.discovery,
+            configuration.known, configuration.discovery, configuration.file_discovery,
             reader.read_from(directory) if directory else None)
         entries, position = initial.snapshot.entries, initial.snapshot.position
         self.driver.on_list(initial.listing())
         self.discovery = Discovery(
-            configuration.discovery, configuration.limits.dial_timeout, self.driver.on_list,
+            initial.addresses, configuration.limits.dial_timeout, self.driver.on_list,
             position.generation if entries else None, configuration.seed, configuration.settings.gateways,
             configuration.limits.grace if configuration.settings.list_pushed else None, entries.values())
         if initial.source is ListSource.LIST_LOG:
             self.discovery.adopt(position, initial.source)
         if len(entries) > SLICE_ENTRIES:
             list_decoder()  # loaded now, so that the first long list is not delayed
-        self.lists = ListExchange(self.discovery, directory, reader)
+        self.lists = ListExchange(self.discovery, directory, reader, configuration.file_discovery)
 
     def make_counter(self, configuration: Configuration) -> CounterClient | None:
         """Returns the client for counter calls, which go to aggregators if these are configured."""
@@ -354,7 +365,7 @@
     async def run(self) -> None:
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.request_stop)
-        self.loop.add_signal_handler(signal.SIGHUP, self.reload)
+        self.loop.add_signal_handler(signal.SIGHUP, self.on_reload_signal)
         await self.start()
         gc.freeze()  # the objects of the start-up stay, so the collector need not scan them
         await self.stop_requested.wait()
@@ -419,6 +430,10 @@
         self.lists.start_log()
         self.overload.start()
 
+    def on_reload_signal(self) -> None:
+        self.reload()
+        self.handover.send_reload()
+
     def reload(self) -> None:
         """Applies changed addresses of discovery and the counter, and changed pool and counter call settings.
 
@@ -432,6 +447,7 @@
         log.info(
             "discovery is now at %s", ",".join(f"{host}:{port}" for host, port in configuration.discovery))
         self.discovery.set_addresses(configuration.discovery)
+        self.lists.note_reload()
         self.driver.change_settings(configuration.settings.pool, configuration.settings.aggregation)
         self.move_counter(configuration)
         return None
--- a/tests/test_incident_upgrade_lists.py
+++ b/tests/test_incident_upgrade_lists.py
@@ -103,6 +103,50 @@
     run(test)
 
 
+def test_a_list_from_the_discovery_that_sighup_named_is_passed_on(tmp_path: pathlib.Path) -> None:
+    """The environment of the successor still names the discovery before, which is gone."""
+
+    async def test() -> None:
+        async with upgrade_bed(tmp_path) as bed:
+            old = bed.newest
+            before = {"RELAY_DISCOVERY": bed.bed.agent.address}
+            await asyncio.sleep(1.0)
+            await bed.move_discovery(old)
+            await asyncio.sleep(1.0)
+            await drain(bed)
+            bed.bed.agent.set_down(True)
+            await bed.start_successor(before)
+            old.signal(signal.SIGTERM)
+            await old.wait()
+            assert await bed.backends_used() == {1, 2}
+            bed.bed.agent.set_down(False)
+            await bed.tell(bed.entry(1, "DRAINING"))
+            await asyncio.sleep(1.0)
+            assert await bed.backends_used() == {2}
+
+    run(test)
+
+
+@pytest.mark.parametrize("signalled", ["predecessor", "successor"])
+def test_sighup_to_one_process_of_an_upgrade_moves_both(signalled: str, tmp_path: pathlib.Path) -> None:
+    async def test() -> None:
+        async with upgrade_bed(tmp_path) as bed:
+            old = bed.newest
+            successor = await bed.start_successor()
+            await asyncio.sleep(1.0)
+            await bed.move_discovery(old if signalled == "predecessor" else successor)
+            bed.bed.agent.break_watches()  # those at the old address
+            await asyncio.sleep(GRACE)
+            await drain(bed)
+            for process in bed.processes:
+                assert (await bed.metrics(process))["list_generation"] == bed.bed.agent.generation
+            old.signal(signal.SIGTERM)
+            await old.wait()
+            assert await bed.backends_used() == {1, 2}
+
+    run(test)
+
+
 @pytest.mark.parametrize("ending", [signal.SIGKILL, signal.SIGSTOP, signal.SIGTERM])
 def test_a_predecessor_that_hands_nothing_over_leaves_its_list(
     ending: signal.Signals, tmp_path: pathlib.Path
--- a/tests/test_list_log.py
+++ b/tests/test_list_log.py
@@ -24,7 +24,7 @@
 from tests.bed import run
 from tests.peers import SOON, entry
 
-POSITION = ListPosition(7, 9, (("127.0.0.1", 8500),), 1.0, 2.0)
+POSITION = ListPosition(7, 9, (("127.0.0.1", 8500),), 1.0, 2.0, (("127.0.0.1", 8600),))
 LONG, LONGEST = 3200, 8500  # backends: the most that the pages name today, and those of the coming size
 
 
--- a/tests/test_list_position.py
+++ b/tests/test_list_position.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from dataclasses import replace
 
 import pytest
 
@@ -79,17 +80,19 @@
 KNOWN = Listing(ListKind.CACHED, 5, (read_entry(entry("known", "127.0.0.1:9")),))
 
 
-@pytest.mark.parametrize(("logged", "source"), [
-    (None, ListSource.CONFIGURATION),
-    (told(6, 1.0, 2.0), ListSource.LIST_LOG),
-    (told(4, 1.0, 2.0), ListSource.CONFIGURATION),
-    (told(6, 1.0, 2.0, discovery=ELSEWHERE), ListSource.CONFIGURATION),  # of another gateway
+@pytest.mark.parametrize(("logged", "source", "addresses"), [
+    (None, ListSource.CONFIGURATION, HERE),
+    (told(6, 1.0, 2.0), ListSource.LIST_LOG, HERE),
+    (told(4, 1.0, 2.0), ListSource.CONFIGURATION, HERE),
+    (told(6, 1.0, 2.0, discovery=ELSEWHERE), ListSource.CONFIGURATION, HERE),  # of another gateway
+    # of this one, which SIGHUP told to look elsewhere, as the configuration file says
+    (replace(told(6, 1.0, 2.0), reloaded_to=ELSEWHERE), ListSource.LIST_LOG, ELSEWHERE),
 ])
 def test_a_process_starts_with_the_newest_list_of_this_gateway(
-    logged: ListPosition | None, source: ListSource
+    logged: ListPosition | None, source: ListSource, addresses: tuple[Address, ...]
 ) -> None:
-    initial = choose_initial_list(KNOWN, HERE, None if logged is None else snapshot(logged))
-    assert initial.source is source
+    initial = choose_initial_list(KNOWN, HERE, addresses, None if logged is None else snapshot(logged))
+    assert (initial.source, initial.addresses) == (source, addresses)
     expected = ["known"] if source is ListSource.CONFIGURATION else ["logged"]
     assert [e.backend.address for e in initial.listing().entries] == expected
 
--- a/tests/upgrade_bed.py
+++ b/tests/upgrade_bed.py
@@ -66,6 +66,17 @@
         self.processes.append(process)
         return process
 
+    async def move_discovery(self, signalled: GatewayProcess) -> None:
+        """Discovery moves to another address, as the configuration says; one process gets SIGHUP."""
+        agent = self.bed.agent
+        previous_server = agent.server
+        await agent.start()
+        assert previous_server is not None
+        previous_server.close()
+        signalled.configuration["discovery"] = agent.address
+        signalled.write_configuration()
+        signalled.signal(signal.SIGHUP)
+
     async def until_yes(self) -> None:
         """Waits until the newest process says that it serves; the old one has the same port."""
         async with asyncio.timeout(SOON):
