Hand over which backends may be cold: removed ones, new ones, and those that reject

After an upgrade a backend in slow start could get what a warm one may: one that had been removed and came back, and one that is listed for the first time with a start long ago (the clocks differ). A cold backend that turns a class and plan away, and so gets nothing for 15 s, got requests from the successor at once.

Cause: the state had none of what the predecessor had been told of this: the starts that it assumed for removed backends, since when the list is followed, and the rejections. With a new process's view, a listed start of long ago counts as it stands, and the backend as warm.

Fix: the state has the three. The last starts go for the 4,096 backends removed last (some 250 KB at most); a backend that is listed again by the time the state comes gets its assumed start as well.

--- a/embersill/state_transfer.py
+++ b/embersill/state_transfer.py
@@ -7,11 +7,14 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from itertools import islice
 from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
     from embersill.control import Gateway, Server, Throttle
 
+MAX_REMOVED_HANDED_OVER = 4096  # removed backends, the latest, whose last start a successor gets
+
 # key of the transferred state, which other versions read and write: attribute
 GATEWAY_STATE = {
     "born": "started_at", "fleet_fails": "fleet_failure_rate", "retry_credit": "retry_credit",
@@ -41,7 +44,7 @@
         "now": gateway.now,
         "gateway": read_fields(gateway, GATEWAY_STATE),
         "throttles": [export_throttle(throttle, gateway.now) for throttle in gateway.throttles.values()],
-        "servers": [[address, server.backend.started_at, read_fields(server, SERVER_STATE)]
+        "servers": [[address, server.backend.started_at, export_server(server)]
                     for address, server in gateway.servers.items() if has_learned_state(server, gateway)],
         "banned": sorted(gateway.suspended), "known": sorted(gateway.known_addresses),
         "greet": gateway.first_request_due,
@@ -50,16 +53,24 @@
         "work_times": gateway.work_times.state(),
         "runs": gateway.run_history.state(gateway.now),
         "granted": [[*key, value] for key, value in gateway.grant_rates.items()],
+        "listed": [gateway.first_listed_at, gateway.last_listed_at],
+        "removed": [[address, *starts] for address, starts in islice(
+            reversed(gateway.removed_starts.items()), MAX_REMOVED_HANDED_OVER)],
     }
 
 
 def has_learned_state(server: Server, gateway: Gateway) -> bool:
     """Whether a server's state differs from that of a new one; most of thousands were never used."""
-    learned = (server.failure_score or server.in_flight or server.cold_sends
+    learned = (server.failure_score or server.in_flight or server.cold_sends or server.rejecting_until
                or server.started_at != server.backend.started_at)
     return bool(learned) or server.limit != gateway.initial_limit()
 
 
+def export_server(server: Server) -> dict[str, Any]:
+    rejecting = [[*key, until] for key, until in server.rejecting_until.items()]
+    return {**read_fields(server, SERVER_STATE), **({"rejecting": rejecting} if rejecting else {})}
+
+
 def read_fields(source: Gateway | Server | Throttle, attributes: Mapping[str, str]) -> dict[str, Any]:
     """The values of the attributes, under the keys of the transferred state."""
     return {key: getattr(source, attribute) for key, attribute in attributes.items()}
@@ -94,7 +105,11 @@
     for address, started_at, values in state["servers"]:
         server = gateway.servers.get(address)
         if server is not None and server.backend.started_at == started_at:
-            restore_fields(gateway, server, SERVER_STATE, to_local_clock(values, ahead), "flight")
+            rejecting = values.get("rejecting", ())  # older versions do not send it
+            server.rejecting_until = {(name, plan): until + ahead for name, plan, until in rejecting}
+            learned = {key: value for key, value in values.items() if key != "rejecting"}
+            restore_fields(gateway, server, SERVER_STATE, to_local_clock(learned, ahead), "flight")
+    restore_list_history(gateway, state, ahead)
     for customer, plan, gateway_count, values in state["throttles"]:
         if plan in gateway.plans:
             restore_throttle(gateway, customer, plan, gateway_count, to_local_clock(values, ahead))
@@ -107,6 +122,24 @@
     gateway.grant_rates.update({(plan, covered): value for plan, covered, value in state["granted"]})
 
 
+def restore_list_history(gateway: Gateway, state: Mapping[str, Any], ahead: float) -> None:
+    """Applies since when the list is followed, and the last starts of removed backends.
+
+    By these, a backend that is listed from now on counts as cold or warm as at the predecessor; as cold in
+    doubt.
+    """
+    first, last = state.get("listed", (None, None))  # older versions do not send it
+    if first is not None:
+        gateway.first_listed_at = min(first + ahead, gateway.first_listed_at or gateway.now)
+        gateway.last_listed_at = max(last + ahead, gateway.last_listed_at)
+    for address, listed, assumed in reversed(state.get("removed", ())):  # the one removed last is first
+        started_at, server = None if assumed is None else assumed + ahead, gateway.servers.get(address)
+        if server is None:
+            gateway.removed_starts.setdefault(address, (listed, started_at))
+        elif listed is not None and server.backend.started_at == listed:
+            server.started_at = started_at
+
+
 def to_local_clock(values: Mapping[str, Any], ahead: float) -> dict[str, Any]:
     """Converts the predecessor's moments to a clock that is `ahead` seconds ahead of the predecessor's."""
     converted = {key: value + ahead if key in MOMENTS and value is not None else value
