Split the hand-over's module and that of the list's log into smaller ones

The connection between two processes is in process_channel.py now, the state's file in state_file.py, files in memory, which were written in two ways, in memory_file.py, and the records of the list in list_record.py.

--- a/embersill/net/handover.py
+++ b/embersill/net/handover.py
@@ -2,23 +2,19 @@
 
 The successor asks for the hand-over once it is able to serve. It receives the listening socket, the state of
 the decision module and each client connection as that falls idle; the predecessor only finishes its requests
-in flight. The successor of a lame duck is one for the remaining time. Each message is one packet of JSON,
-with the file descriptors that it passes.
+in flight. The successor of a lame duck is one for the remaining time.
 """
 
 from __future__ import annotations
 
 import asyncio
-import json
 import logging
 import os
 import socket
 import time
-import zlib
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import asdict
-from typing import Any
 
 from embersill.interface import PeerRun
 from embersill.net.clients import ClientConnection, ConnectionHistory, ClientServer
@@ -27,11 +23,12 @@
 from embersill.net.list_exchange import ListExchange
 from embersill.net.memory import MB
 from embersill.net.overload import OverloadManager
-from embersill.start_gate import MESSAGE_VERSION as VERSION
+from embersill.net.process_channel import Channel, Message
+from embersill.net.state_file import (
+    STATE_FILE_NAME, create_memory_file, parse_state, read_memory_file, serialize_state,
+)
 from embersill.start_gate import SOCKET_NAME, connect_in, path_in
 
-STATE_FILE_NAME = "embersill.state"
-MAX_MESSAGE_SIZE = 4096  # bytes: the id of a backend is the longest part of a message
 TAKE_OVER_TIMEOUT = 1.5  # seconds for the predecessor to hand over: the successor must be ready within 6
 CONFIRMATION_TIMEOUT = 0.5  # seconds for the peer to confirm a suspension: the console must answer within 1
 ACCEPT_RETRY_DELAY = 0.05  # seconds until the next try to accept a successor's connection
@@ -43,71 +40,9 @@
 MAKE_ROOM_TIMEOUT = 3.0
 CONNECTION_COUNT_INTERVAL = 0.25  # seconds between the predecessor's reports of its open connections
 
-Message = dict[str, Any]
-
 log = logging.getLogger("embersill")
 
 
-class Channel:
-    """One end of the connection between a process and its predecessor or successor.
-
-    on_message: called with each message and the descriptors that came with it
-    on_closed: called once when the other end has closed
-    """
-
-    def __init__(self, sock: socket.socket, on_message: Callable[[Message, list[int]], None],
-                 on_closed: Callable[[], None]) -> None:
-        self.sock, self.on_message, self.on_closed = sock, on_message, on_closed
-        self.loop = asyncio.get_running_loop()
-        sock.setblocking(False)
-        self.loop.add_reader(sock, self.on_readable)
-
-    def send(self, message: Message, *descriptors: int) -> bool:
-        """Sends a message with descriptors.
-
-        Returns False, with nothing sent, if the buffer is full or the other process has exited.
-        """
-        if self.sock.fileno() < 0:
-            return False
-        text = json.dumps({**message, "version": VERSION}).encode()
-        try:
-            socket.send_fds(self.sock, [text], descriptors)
-        except OSError as error:  # full, or too many descriptors in flight; on_readable notices a closed end
-            log.debug("a message to the other process was not sent: %s", error)
-            return False
-        return True
-
-    def on_readable(self) -> None:
-        while self.sock.fileno() >= 0:
-            try:
-                text, descriptors, _, _ = socket.recv_fds(self.sock, MAX_MESSAGE_SIZE, 4)
-            except BlockingIOError:
-                return
-            except OSError as error:
-                log.info("reading from the other process failed: %s", error)
-                text, descriptors = b"", []
-            if not text:
-                self.close()
-                return self.on_closed()
-            self.handle_packet(text, descriptors)
-
-    def handle_packet(self, text: bytes, descriptors: list[int]) -> None:
-        try:
-            message = json.loads(text)
-            if message["version"] != VERSION:
-                raise ValueError("another version")
-            self.on_message(message, descriptors)
-        except (ValueError, LookupError, TypeError) as error:
-            log.warning("invalid message from another process: %s", error)
-            for descriptor in descriptors:
-                os.close(descriptor)
-
-    def close(self) -> None:
-        if self.sock.fileno() >= 0:
-            self.loop.remove_reader(self.sock)
-            self.sock.close()
-
-
 def open_directory(path: str) -> int:
     """Returns a descriptor of the directory, or -1 if it can't be opened.
 
@@ -120,44 +55,6 @@
         return -1
 
 
-def serialize_state(state: Message) -> str:
-    """Returns the state as text, with its version and a checksum."""
-    text = json.dumps(state, separators=(",", ":"))
-    return f"{VERSION} {zlib.crc32(text.encode())}\n{text}"
-
-
-def parse_state(serialized: str) -> Message:
-    """Reads what `serialize_state` returned; raises ValueError if it is of another version or incomplete."""
-    head, _, text = serialized.partition("\n")
-    if head.split() != [str(VERSION), str(zlib.crc32(text.encode()))]:
-        raise ValueError("of another version, or incomplete")
-    state = json.loads(text)
-    return state if isinstance(state, dict) else {}
-
-
-def create_memory_file(text: str) -> int:
-    """Returns the descriptor of a file in memory, or -1. It can be written even if the disk is full."""
-    try:
-        descriptor = os.memfd_create(STATE_FILE_NAME)
-    except OSError as error:
-        log.warning("the state is handed over by the state file only: %s", error)
-        return -1
-    with open(os.dup(descriptor), "w", encoding="ascii") as file:
-        file.write(text)
-    return descriptor
-
-
-def read_memory_file(descriptor: int) -> Message:
-    """Reads the state from the predecessor's memory file, {} if it is invalid, and closes the descriptor."""
-    try:
-        with open(descriptor, encoding="ascii") as file:
-            file.seek(0)
-            return parse_state(file.read())
-    except (OSError, ValueError) as error:
-        log.warning("the state from the predecessor is unusable: %s", error)
-        return {}
-
-
 def read_seconds(message: Message, key: str) -> float | None:
     """Reads a duration; a process of an older version may not send it."""
     seconds = message.get(key)
--- a/embersill/net/list_exchange.py
+++ b/embersill/net/list_exchange.py
@@ -15,14 +15,13 @@
 from embersill.interface import ListKind
 from embersill.net.discovery import Discovery
 from embersill.net.list_feed import changed_entries
-from embersill.net.list_log import (
-    ListLog, ListLogReader, ListRecord, decode_records, encode_snapshot, merge_records, read_all,
-    write_memory_file,
-)
+from embersill.net.list_log import LIST_LOG_NAME, ListLog, ListLogReader, read_all
 from embersill.net.list_position import (
     ListPosition, ListSnapshot, ListSource, choose_predecessor_list,
 )
+from embersill.net.list_record import ListRecord, decode_records, encode_snapshot, merge_records
 from embersill.net.listing import Address, Entry, Listing
+from embersill.net.memory_file import write_memory_file
 
 RESEND_DELAY = 0.05  # seconds until the whole list is sent, after a change could not be sent
 
@@ -133,7 +132,7 @@
     def send_records(self, text: bytes) -> None:
         if self.send is None:
             return
-        descriptor = write_memory_file(text)
+        descriptor = write_memory_file(LIST_LOG_NAME, text)
         sent = descriptor >= 0 and self.send(descriptor)
         if descriptor >= 0:
             os.close(descriptor)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -16,7 +16,8 @@
     ListKind, Outcome, PredecessorEnded, PredecessorState, Refuse, Request, Send, Suspend, TimerExpired,
 )
 from embersill.lab.peers import HttpMessage
-from embersill.net.handover import STATE_FILE_NAME, Handover
+from embersill.net.handover import Handover
+from embersill.net.state_file import STATE_FILE_NAME
 from embersill.start_gate import SOCKET_NAME
 from tests.bed import READY, Bed, before, request, roomy_settings, run, running
 from tests.helpers import CAPPED, backend, backends, ended, gateway
--- a/tests/test_list_exchange.py
+++ b/tests/test_list_exchange.py
@@ -14,11 +14,12 @@
 from embersill.interface import BackendStatus, ListKind
 from embersill.net import handover
 from embersill.net.discovery import Discovery
-from embersill.net.handover import Channel
 from embersill.net.list_feed import SLICE_ENTRIES, ListFeed
-from embersill.net.list_log import ListLogReader, ListRecord
+from embersill.net.list_log import ListLogReader
 from embersill.net.list_position import ListSource
+from embersill.net.list_record import ListRecord
 from embersill.net.listing import Entry, Listing, read_entry
+from embersill.net.process_channel import Channel
 from embersill.program import Program
 from tests.bed import Bed, request, roomy_settings, run, running
 from tests.peers import SOON, entry
--- a/tests/test_list_log.py
+++ b/tests/test_list_log.py
@@ -16,10 +16,9 @@
 
 from embersill.interface import BackendStatus
 from embersill.net import list_log
-from embersill.net.list_log import (
-    LIST_LOG_NAME, ListLog, ListLogReader, ListRecord, decode_records, encode_snapshot, merge_records,
-)
+from embersill.net.list_log import LIST_LOG_NAME, ListLog, ListLogReader
 from embersill.net.list_position import ListPosition, ListSnapshot
+from embersill.net.list_record import ListRecord, decode_records, encode_snapshot, merge_records
 from embersill.net.listing import Entry, read_entry
 from tests.bed import run
 from tests.peers import SOON, entry
