Read a predecessor's list only where it counts, and share what is the same in memory

Change: where a predecessor runs, the log is not read at the start; of the list that it hands over only the last record is read, the position, and the rest only if that list is the newer one. Entries that the configuration has as well are used again. The five types are named tuples. The tests of the upgrade wait until a list is in force, in place of a fixed time, and have lists of 3,200 and 8,500.

--- a/embersill/net/discovery.py
+++ b/embersill/net/discovery.py
@@ -19,7 +19,6 @@
 import time
 from collections import Counter as Tally
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import replace
 from math import inf
 from typing import cast
 
@@ -286,8 +285,8 @@
         self.newest_generation = position.generation if comparable else 0
         self.last_list_was_older = False
         if position.shares_discovery(self.position.discovery):
-            position = replace(position, highest=max(position.highest, self.position.highest))
-        self.position = replace(position, reloaded_to=self.position.reloaded_to)
+            position = position._replace(highest=max(position.highest, self.position.highest))
+        self.position = position._replace(reloaded_to=self.position.reloaded_to)
         self.adopted_at = time.monotonic()
         age = position.age()
         if age is not None:
@@ -508,7 +507,7 @@
         if tuple(addresses) != self.addresses:
             self.addresses, self.address_index = tuple(addresses), 0
             self.generation, self.newest_generation = None, 0
-            self.position = replace(self.position, reloaded_to=self.addresses)
+            self.position = self.position._replace(reloaded_to=self.addresses)
             self.backoff, self.consecutive_timeouts = MIN_BACKOFF, 0
             self.addresses_changed.set()
             if self.connecting_timeout is not None:
--- a/embersill/net/list_exchange.py
+++ b/embersill/net/list_exchange.py
@@ -10,12 +10,12 @@
 import logging
 import os
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, replace
+from typing import NamedTuple
 
 from embersill.interface import ListKind
 from embersill.net.discovery import Discovery
 from embersill.net.list_feed import changed_entries
-from embersill.net.list_log import LIST_LOG_NAME, ListLog, ListLogReader, read_all
+from embersill.net.list_log import LIST_LOG_NAME, ListLog, ListLogReader, read_all, read_last_position
 from embersill.net.list_position import (
     ListPosition, ListSnapshot, ListSource, choose_predecessor_list,
 )
@@ -23,6 +23,7 @@
 from embersill.net.listing import Address, Entry, Listing
 from embersill.net.memory_file import write_memory_file
 
+DIFFERENCE_DELAY = 0.05  # seconds after a hand-over until the predecessor is told what its list lacks
 RESEND_DELAY = 0.05  # seconds until the whole list is sent, after a change could not be sent
 
 log = logging.getLogger("embersill")
@@ -34,8 +35,7 @@
     return position.shares_discovery(addresses) or not addresses.isdisjoint(position.reloaded_to)
 
 
-@dataclass(frozen=True, slots=True)
-class InitialList:
+class InitialList(NamedTuple):
     """What a process starts with, before it talks to discovery or to its predecessor.
 
     addresses: of the discovery to follow
@@ -111,9 +111,8 @@
 
     def finish(self, position: ListPosition, base: int) -> list[ListRecord]:
         """Logs the position after a change; returns the change, [] if there is none."""
-        is_same = replace(
-            position, requested_at=self.position.requested_at, received_at=self.position.received_at
-        ) == self.position
+        is_same = position == self.position._replace(
+            requested_at=position.requested_at, received_at=position.received_at)
         self.position = self.log.position = position
         if is_same and not self.unfinished:
             return []
@@ -125,7 +124,7 @@
 
     def note_reload(self) -> None:
         """Logs that SIGHUP has changed the addresses of discovery."""
-        self.finish(replace(self.position, reloaded_to=self.discovery.position.reloaded_to), 0)
+        self.finish(self.position._replace(reloaded_to=self.discovery.position.reloaded_to), 0)
 
     # to and from the other process
 
@@ -183,27 +182,32 @@
 
     def take_over(self, descriptor: int) -> None:
         """Goes by the predecessor's list if that is the newer one; else tells it what has changed since."""
-        snapshot = self.reader.read(descriptor)
-        if snapshot is None:
+        position = read_last_position(descriptor)
+        if position is None:
+            os.close(descriptor)
             return self.note_no_list()
-        self.follow_reload(snapshot.position)
-        if not self.choose(snapshot, ListSource.PEER):
-            asyncio.get_running_loop().call_soon(self.send_difference, snapshot)
+        self.follow_reload(position)
+        if self.is_newer(position):
+            snapshot = self.reader.read(descriptor)
+            self.reader.forget()
+            return self.note_no_list() if snapshot is None else self.adopt(snapshot, ListSource.PEER)
+        asyncio.get_running_loop().call_later(DIFFERENCE_DELAY, self.send_difference, descriptor)
         return None
 
     def read_log(self) -> None:
         """Goes by what the predecessor has logged, as it hands nothing over, if that is newer."""
         snapshot = self.reader.read_from(self.directory) if self.directory else None
-        if snapshot is not None and is_of_this_gateway(snapshot.position, self.discovery.addresses):
-            self.choose(snapshot, ListSource.LIST_LOG)
+        self.reader.forget()
+        if snapshot is None:
+            return
+        self.follow_reload(snapshot.position)
+        is_own = is_of_this_gateway(snapshot.position, self.discovery.addresses)
+        if is_own and self.is_newer(snapshot.position):
+            self.adopt(snapshot, ListSource.LIST_LOG)
 
-    def choose(self, snapshot: ListSnapshot, source: ListSource) -> bool:
-        """Adopts a predecessor's list if that is the newer one; returns whether it is."""
-        own, addresses = self.discovery.position, self.discovery.addresses
-        if not choose_predecessor_list(snapshot.position, own, addresses):
-            return False
-        self.adopt(snapshot, source)
-        return True
+    def is_newer(self, predecessor: ListPosition) -> bool:
+        """Whether the predecessor's list counts in place of that of this process."""
+        return choose_predecessor_list(predecessor, self.discovery.position, self.discovery.addresses)
 
     def follow_reload(self, predecessor: ListPosition) -> None:
         """Follows the discovery that SIGHUP told the predecessor, if the configuration file still names it.
@@ -215,21 +219,27 @@
         if self.discovery.addresses != self.file_addresses:
             log.info("discovery is the one that the predecessor was told by SIGHUP")
             self.discovery.set_addresses(self.file_addresses)
-        self.discovery.position = replace(self.discovery.position, reloaded_to=self.file_addresses)
+        self.discovery.position = self.discovery.position._replace(reloaded_to=self.file_addresses)
 
     def note_no_list(self) -> None:
         """Logs that the predecessor, maybe of an older version, has handed over no list."""
         log.warning(
             "the predecessor hands over no list: this process goes by %s", self.discovery.describe_list())
 
-    def send_difference(self, snapshot: ListSnapshot) -> None:
-        """Tells the predecessor what its list lacks."""
-        own = self.position
-        if self.send is None or own.generation == snapshot.position.generation:
-            return
+    def send_difference(self, descriptor: int) -> None:
+        """Tells the predecessor what its list lacks, and closes the descriptor of that list."""
+        own, predecessor = self.position, read_last_position(descriptor)
+        if self.send is None or predecessor is None or own.generation == predecessor.generation:
+            self.reader.forget()
+            return os.close(descriptor)
+        snapshot = self.reader.read(descriptor)
+        self.reader.forget()
+        if snapshot is None:
+            return None
         changed = changed_entries(snapshot.entries, self.discovery.feed.delivered, True)
         self.send_records(
             ListRecord(tuple(changed), position=own, base=snapshot.position.generation).encode())
+        return None
 
     # as the predecessor, and without another process
 
--- a/embersill/net/list_log.py
+++ b/embersill/net/list_log.py
@@ -12,13 +12,13 @@
 import logging
 import os
 import time
+from collections.abc import Mapping
 from contextlib import suppress
-from dataclasses import replace
 
 from embersill.interface import BackendStatus
 from embersill.net.list_feed import SLICE_ENTRIES
 from embersill.net.list_position import ListPosition, ListSnapshot
-from embersill.net.list_record import ListRecord, decode_records, encode_snapshot
+from embersill.net.list_record import ListRecord, decode_record, decode_records, encode_snapshot
 from embersill.net.listing import Entry
 from embersill.net.memory_file import write_memory_file, write_whole
 
@@ -26,6 +26,7 @@
 MIN_REWRITE_BYTES = 64 * 1024  # of changes, from which a log is written anew
 RETRY_DELAY = 0.5  # seconds until the next try after a failed write
 READ_BYTES = 1024 * 1024  # read at a time
+LAST_RECORD_BYTES = 4096  # read to find the last record, if that has only a position
 MAX_LOG_BYTES = 16 * 1024 * 1024  # of a log that is read; some ten thousand backends take 2 MB
 
 log = logging.getLogger("embersill")
@@ -40,10 +41,23 @@
     return b"".join(parts)
 
 
+def read_last_position(descriptor: int) -> ListPosition | None:
+    """Reads the last record of a list that was handed over; None if that is no position."""
+    try:
+        size = os.fstat(descriptor).st_size
+        text = os.pread(descriptor, LAST_RECORD_BYTES, max(size - LAST_RECORD_BYTES, 0))
+        position = decode_record(text.rstrip(b"\n").rpartition(b"\n")[2]).position
+    except (OSError, ValueError, LookupError, TypeError, AttributeError):
+        return None
+    return None if position is None else known_to_be_past(position)
+
+
 class ListLogReader:
     """Reads the log of an earlier process, later only what has been added."""
 
-    def __init__(self) -> None:
+    def __init__(self, present: Mapping[str, Entry] | None = None) -> None:
+        """`present`: entries, by the backend's id, that are used again where the log has the same."""
+        self.present: Mapping[str, Entry] = present or {}
         self.file_id = (0, 0)  # device and inode of the file that was read
         self.offset = 0
         self.entries: dict[str, Entry] = {}
@@ -82,6 +96,12 @@
             return None
         return ListSnapshot(known_to_be_past(self.position), dict(self.entries))
 
+    def forget(self) -> None:
+        """Drops what was read, and what it was compared with."""
+        self.present = {}
+        self.file_id, self.offset = (0, 0), 0
+        self.entries, self.position = {}, None
+
     def apply(self, record: ListRecord) -> None:
         if record.is_full:
             self.entries.clear()
@@ -89,7 +109,8 @@
             if entry.backend.status is BackendStatus.REMOVED:
                 self.entries.pop(entry.backend.address, None)
             else:
-                self.entries[entry.backend.address] = entry
+                same = self.present.get(entry.backend.address)
+                self.entries[entry.backend.address] = same if same == entry else entry
         self.position = record.position or self.position
 
 
@@ -97,7 +118,7 @@
     """The position; without its times if they are of the time before the machine was started again."""
     if position.received_at is None or position.received_at <= time.monotonic():
         return position
-    return replace(position, requested_at=None, received_at=None)
+    return position._replace(requested_at=None, received_at=None)
 
 
 class ListLog:
--- a/embersill/net/list_position.py
+++ b/embersill/net/list_position.py
@@ -10,8 +10,8 @@
 
 import time
 from collections.abc import Iterable
-from dataclasses import dataclass, replace
 from enum import Enum
+from typing import NamedTuple
 
 from embersill.net.listing import Address, Entry
 
@@ -25,8 +25,7 @@
     PEER = "other process"  # sent by the predecessor or successor in an upgrade
 
 
-@dataclass(frozen=True, slots=True)
-class ListPosition:
+class ListPosition(NamedTuple):
     """Where a list stands.
 
     generation: its generation at discovery
@@ -68,13 +67,12 @@
     ) -> ListPosition:
         """The position after an answer of discovery."""
         highest = max(generation, self.highest) if self.shares_discovery(discovery) else generation
-        return replace(
-            self, generation=generation, highest=highest, discovery=discovery, requested_at=requested_at,
+        return self._replace(
+            generation=generation, highest=highest, discovery=discovery, requested_at=requested_at,
             received_at=received_at)
 
 
-@dataclass(frozen=True, slots=True)
-class ListStatus:
+class ListStatus(NamedTuple):
     """What operators are shown of the list in use; `age` in seconds, None if unknown."""
 
     generation: int
@@ -86,8 +84,7 @@
         return f"list {self.generation} ({self.source.value}, {age})"
 
 
-@dataclass(frozen=True, slots=True)
-class ListSnapshot:
+class ListSnapshot(NamedTuple):
     """A whole list with its position."""
 
     position: ListPosition
--- a/embersill/net/list_record.py
+++ b/embersill/net/list_record.py
@@ -9,8 +9,7 @@
 import logging
 import zlib
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass, replace
-from typing import Any
+from typing import Any, NamedTuple
 
 from embersill.interface import Backend, BackendStatus
 from embersill.net.list_position import ListPosition, ListSnapshot
@@ -21,8 +20,7 @@
 log = logging.getLogger("embersill")
 
 
-@dataclass(frozen=True, slots=True)
-class ListRecord:
+class ListRecord(NamedTuple):
     """One change of the list.
 
     entries: of the backends that changed
@@ -110,8 +108,9 @@
 
 
 def encode_snapshot(snapshot: ListSnapshot) -> bytes:
-    """A whole list as one record."""
-    return ListRecord(tuple(snapshot.entries.values()), True, snapshot.position).encode()
+    """A whole list, with its position in a record of its own, which can be read without the rest."""
+    entries = ListRecord(tuple(snapshot.entries.values()), True)
+    return entries.encode() + ListRecord(position=snapshot.position).encode()
 
 
 def merge_records(records: Iterable[ListRecord]) -> ListRecord:
@@ -122,7 +121,7 @@
         if record.is_full:
             entries.clear()
         entries |= {entry.backend.address: entry for entry in record.entries}
-        merged = replace(
-            merged, is_full=merged.is_full or record.is_full, position=record.position or merged.position,
+        merged = merged._replace(
+            is_full=merged.is_full or record.is_full, position=record.position or merged.position,
             base=record.base if record.position else merged.base)
-    return replace(merged, entries=tuple(entries.values()))
+    return merged._replace(entries=tuple(entries.values()))
--- a/embersill/program.py
+++ b/embersill/program.py
@@ -206,7 +206,7 @@
         self.driver.use_trace(make_trace(os.environ, clock))
         self.aggregators = configuration.aggregators
         self.driver.counter = self.make_counter(configuration)
-        self.make_discovery(configuration)
+        self.make_discovery(configuration, predecessor is not None)
         self.driver.list_figures = self.discovery.figures
         self.driver.list_status = self.discovery.list_status
         memory = max(configuration.memory_mb * MB - USED_MEMORY, 0)
@@ -239,12 +239,16 @@
         self.discovery_task: asyncio.Task[None] | None = None
         self.list_settled = False  # the list is from discovery, or that was waited for long enough
 
-    def make_discovery(self, configuration: Configuration) -> None:
-        """Creates the client of discovery, which starts with the newest list that is known here."""
-        directory, reader = configuration.state_directory, ListLogReader()
+    def make_discovery(self, configuration: Configuration, has_predecessor: bool) -> None:
+        """Creates the client of discovery, which starts with the newest list that is known here.
+
+        A predecessor that runs may hand over its list: it is read from the log only if that fails.
+        """
+        directory = configuration.state_directory
+        reader = ListLogReader({entry.backend.address: entry for entry in configuration.known.entries})
         initial = choose_initial_list(
             configuration.known, configuration.discovery, configuration.file_discovery,
-            reader.read_from(directory) if directory else None)
+            reader.read_from(directory) if directory and not has_predecessor else None)
         entries, position = initial.snapshot.entries, initial.snapshot.position
         self.driver.on_list(initial.listing())
         self.discovery = Discovery(
--- a/tests/test_incident_upgrade_lists.py
+++ b/tests/test_incident_upgrade_lists.py
@@ -14,7 +14,7 @@
 import pytest
 
 from tests.bed import run
-from tests.upgrade_bed import GRACE, UpgradeBed, upgrade_bed
+from tests.upgrade_bed import UpgradeBed, unused_entry, upgrade_bed
 
 Tell = Callable[[UpgradeBed], Awaitable[None]]
 
@@ -47,7 +47,6 @@
     agent.entries = {name: (1, entry) for name, (_, entry) in agent.entries.items()}
     agent.break_watches()
     await bed.tell(bed.entry(0, "DRAINING"))
-    await asyncio.sleep(1.0)
 
 
 TOLD: dict[str, tuple[Tell, set[int]]] = {  # what is told, and the backends that may be used then
@@ -71,7 +70,7 @@
             await bed.upgrade()
             assert await bed.backends_used() == allowed
             bed.bed.agent.set_down(False)
-            await asyncio.sleep(1.0)
+            await bed.until_told()
             assert await bed.backends_used() == allowed
 
     run(test)
@@ -90,6 +89,29 @@
     run(test)
 
 
+@pytest.mark.parametrize("length", [3200, 8500])
+def test_a_long_list_is_passed_on_whole(length: int, tmp_path: pathlib.Path) -> None:
+    """Of the coming size, and more than half of it told after the configuration was written."""
+
+    async def test() -> None:
+        async with upgrade_bed(tmp_path) as bed:
+            await bed.tell(*(unused_entry(number) for number in range(length // 2)))
+            bed.known = {**bed.known, "instances": [
+                *bed.known["instances"], *(unused_entry(number) for number in range(length // 2))]}
+            await bed.upgrade()
+            await bed.tell(bed.entry(0, "DRAINING"), *(unused_entry(n) for n in range(100, length)))
+            await bed.tell(*({**unused_entry(n), "lifecycle": "DELETED"} for n in range(200)))
+            listed = (await bed.metrics())["hosts_listed"]
+            assert listed == 3 + length - 200
+            bed.bed.agent.set_down(True)
+            for _ in range(2):
+                await bed.upgrade()
+                assert (await bed.metrics())["hosts_listed"] == listed
+                assert await bed.backends_used() == {1, 2}
+
+    run(test)
+
+
 def test_a_configuration_that_is_newer_than_all_that_was_told_is_used(tmp_path: pathlib.Path) -> None:
     async def test() -> None:
         async with upgrade_bed(tmp_path) as bed:
@@ -112,7 +134,6 @@
             before = {"RELAY_DISCOVERY": bed.bed.agent.address}
             await asyncio.sleep(1.0)
             await bed.move_discovery(old)
-            await asyncio.sleep(1.0)
             await drain(bed)
             bed.bed.agent.set_down(True)
             await bed.start_successor(before)
@@ -121,7 +142,6 @@
             assert await bed.backends_used() == {1, 2}
             bed.bed.agent.set_down(False)
             await bed.tell(bed.entry(1, "DRAINING"))
-            await asyncio.sleep(1.0)
             assert await bed.backends_used() == {2}
 
     run(test)
@@ -136,10 +156,7 @@
             await asyncio.sleep(1.0)
             await bed.move_discovery(old if signalled == "predecessor" else successor)
             bed.bed.agent.break_watches()  # those at the old address
-            await asyncio.sleep(GRACE)
             await drain(bed)
-            for process in bed.processes:
-                assert (await bed.metrics(process))["list_generation"] == bed.bed.agent.generation
             old.signal(signal.SIGTERM)
             await old.wait()
             assert await bed.backends_used() == {1, 2}
@@ -174,7 +191,6 @@
             bed.bed.agent.set_down(True)
             await bed.upgrade()
             bed.bed.agent.set_down(False)
-            await asyncio.sleep(1.0)
             await bed.tell(bed.entry(1, "DRAINING"), bed.entry(0))
             bed.bed.agent.set_down(True)
             await bed.upgrade()
@@ -195,7 +211,7 @@
                 await bed.upgrade()
                 assert await bed.backends_used() == {2}
             bed.bed.agent.set_down(False)
-            await asyncio.sleep(GRACE)
+            await bed.until_told()
             assert await bed.backends_used() == {2}
 
     run(test)
--- a/tests/test_list_exchange.py
+++ b/tests/test_list_exchange.py
@@ -286,7 +286,7 @@
         await stop_following(first)
         calls = len(bed.discovery.asked)
         await bed.discovery.until_asked(calls)
-        later = replace(second.discovery.position, generation=9, highest=9)
+        later = second.discovery.position._replace(generation=9, highest=9)
         second.discovery.adopt(later, ListSource.DISCOVERY)
         await bed.discovery.change()  # the watch that is open gets generation 2
         await bed.discovery.until_asked(calls + 1)
@@ -301,8 +301,8 @@
     async def test(bed: Bed, first: Program, second: Program) -> None:
         await stop_following(second)
         own = second.discovery.position
-        later = replace(
-            own, generation=own.generation + 5, highest=own.generation + 5,
+        later = own._replace(
+            generation=own.generation + 5, highest=own.generation + 5,
             requested_at=(own.received_at or 0.0) + 1.0, received_at=(own.received_at or 0.0) + 2.0)
         change = drained(second.discovery.feed.delivered["b0"])
         first.lists.send_records(ListRecord((change,), position=later, base=own.generation + 3).encode())
@@ -317,9 +317,9 @@
 def test_discovery_calls_go_on_from_an_adopted_list() -> None:
     async def test() -> None:
         discovery = Discovery((("127.0.0.1", 9),), 0.1, lambda listing: None, 3)
-        discovery.adopt(replace(discovery.position, generation=7, highest=7), ListSource.PEER)
+        discovery.adopt(discovery.position._replace(generation=7, highest=7), ListSource.PEER)
         assert (discovery.generation, discovery.newest_generation) == (7, 7)
-        elsewhere = replace(discovery.position, generation=50, discovery=(("127.0.0.1", 10),))
+        elsewhere = discovery.position._replace(generation=50, discovery=(("127.0.0.1", 10),))
         discovery.adopt(elsewhere, ListSource.PEER)
         assert (discovery.generation, discovery.newest_generation) == (None, 0)
 
--- a/tests/test_list_log.py
+++ b/tests/test_list_log.py
@@ -87,7 +87,7 @@
             change(entries, log, draining)
             change(entries, log, with_status(entries[names[number]], BackendStatus.REMOVED))
             await asyncio.sleep(0)
-        last = replace(POSITION, generation=8)
+        last = POSITION._replace(generation=8)
         log.append(ListRecord(position=last, base=7))
         await settled(log)
         assert read(tmp_path) == ListSnapshot(last, entries)
@@ -119,7 +119,7 @@
 def test_a_log_cut_off_anywhere_is_read_up_to_its_last_whole_record(tmp_path: pathlib.Path) -> None:
     entries = make_entries(3)
     whole = encode_snapshot(ListSnapshot(POSITION, entries))
-    later = replace(POSITION, generation=8)
+    later = POSITION._replace(generation=8)
     drained = with_status(entries["backend-1"], BackendStatus.DRAINING)
     text = whole + ListRecord((drained,), position=later, base=7).encode()
     path = tmp_path / LIST_LOG_NAME
@@ -139,7 +139,7 @@
 def test_a_damaged_record_is_not_used_nor_what_follows_it(damage: bytes, tmp_path: pathlib.Path) -> None:
     entries = make_entries(3)
     whole = encode_snapshot(ListSnapshot(POSITION, entries))
-    later = ListRecord(position=replace(POSITION, generation=8)).encode()
+    later = ListRecord(position=POSITION._replace(generation=8)).encode()
     path = tmp_path / LIST_LOG_NAME
     path.write_bytes(whole + damage + later)
     found = read(tmp_path)
@@ -239,7 +239,7 @@
 
 def test_times_of_before_the_machine_was_started_again_are_not_used(tmp_path: pathlib.Path) -> None:
     later = time.monotonic() + 1000.0
-    left = ListSnapshot(replace(POSITION, requested_at=later, received_at=later), make_entries(1))
+    left = ListSnapshot(POSITION._replace(requested_at=later, received_at=later), make_entries(1))
     (tmp_path / LIST_LOG_NAME).write_bytes(encode_snapshot(left))
     found = read(tmp_path)
     assert found is not None and found.position.received_at is None
--- a/tests/test_list_position.py
+++ b/tests/test_list_position.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import time
-from dataclasses import replace
 
 import pytest
 
@@ -86,7 +85,7 @@
     (told(4, 1.0, 2.0), ListSource.CONFIGURATION, HERE),
     (told(6, 1.0, 2.0, discovery=ELSEWHERE), ListSource.CONFIGURATION, HERE),  # of another gateway
     # of this one, which SIGHUP told to look elsewhere, as the configuration file says
-    (replace(told(6, 1.0, 2.0), reloaded_to=ELSEWHERE), ListSource.LIST_LOG, ELSEWHERE),
+    (told(6, 1.0, 2.0)._replace(reloaded_to=ELSEWHERE), ListSource.LIST_LOG, ELSEWHERE),
 ])
 def test_a_process_starts_with_the_newest_list_of_this_gateway(
     logged: ListPosition | None, source: ListSource, addresses: tuple[Address, ...]
--- a/tests/upgrade_bed.py
+++ b/tests/upgrade_bed.py
@@ -46,9 +46,24 @@
         return made
 
     async def tell(self, *entries: Entry) -> None:
-        """Discovery has these entries, and the gateway's processes have them by the end of the grace."""
+        """Discovery has these entries, and a moment later the gateway's processes have them too."""
         self.bed.agent.apply_changes(list(entries))
-        await asyncio.sleep(GRACE)
+        await self.until_told()
+
+    async def until_told(self) -> None:
+        """Waits until the gateway's processes have the newest list."""
+        async with asyncio.timeout(SOON):
+            for process in self.processes:
+                while process.running and await self.list_generation(process) != self.bed.agent.generation:
+                    await asyncio.sleep(0.01)
+
+    async def list_generation(self, process: GatewayProcess) -> int:
+        """The generation of its list; by a version that does not tell, that of discovery after the grace."""
+        metrics = await self.metrics(process)
+        if "list_source" not in metrics:
+            await asyncio.sleep(GRACE)
+        found: int = metrics.get("list_generation", self.bed.agent.generation)
+        return found
 
     async def start_successor(self, environment: dict[str, str] | None = None, **more: Any) -> GatewayProcess:
         """Starts a process beside the newest one and waits for its yes."""
@@ -145,7 +160,7 @@
         unlisted = [n for n in range(backends) if n not in listed]
         bed.agent.apply_changes([{**bed.entry(f"b{n}"), "lifecycle": "DELETED"} for n in unlisted])
         made = UpgradeBed(bed, bed.agent.initial_list())
-        await asyncio.sleep(GRACE)
+        await made.until_told()
         try:
             yield made
         finally:
