Read the list that a predecessor left while discovery is waited for

Change: after 0.1 s of the 0.3 s without an answer the log is read, so that only what was added is left to be read at the hand-over; a row that the configuration has as well makes no new entry.

--- a/embersill/net/list_exchange.py
+++ b/embersill/net/list_exchange.py
@@ -180,6 +180,11 @@
 
     # as the successor
 
+    def read_ahead(self) -> None:
+        """Reads the predecessor's log while there is time, so that little is left to be read at the end."""
+        if self.directory:
+            self.reader.read_from(self.directory)
+
     def take_over(self, descriptor: int) -> None:
         """Goes by the predecessor's list if that is the newer one; else tells it what has changed since."""
         position = read_last_position(descriptor)
--- a/embersill/net/list_log.py
+++ b/embersill/net/list_log.py
@@ -53,7 +53,7 @@
 
 
 class ListLogReader:
-    """Reads the log of an earlier process, later only what has been added."""
+    """Reads the log of an earlier process, later only what has been added to the same list."""
 
     def __init__(self, present: Mapping[str, Entry] | None = None) -> None:
         """`present`: entries, by the backend's id, that are used again where the log has the same."""
@@ -83,7 +83,7 @@
             if self.file_id != (status.st_dev, status.st_ino) or status.st_size < self.offset:
                 self.file_id, self.offset = (status.st_dev, status.st_ino), 0
                 self.entries, self.position = {}, None
-            records, size = decode_records(read_all(descriptor, self.offset))
+            records, size = decode_records(read_all(descriptor, self.offset), self.present)
         except OSError as error:
             log.warning("the list that an earlier process left is unusable: %s", error)
             return None
@@ -94,7 +94,7 @@
             self.apply(record)
         if self.position is None:
             return None
-        return ListSnapshot(known_to_be_past(self.position), dict(self.entries))
+        return ListSnapshot(known_to_be_past(self.position), self.entries)
 
     def forget(self) -> None:
         """Drops what was read, and what it was compared with."""
@@ -109,8 +109,7 @@
             if entry.backend.status is BackendStatus.REMOVED:
                 self.entries.pop(entry.backend.address, None)
             else:
-                same = self.present.get(entry.backend.address)
-                self.entries[entry.backend.address] = same if same == entry else entry
+                self.entries[entry.backend.address] = entry
         self.position = record.position or self.position
 
 
--- a/embersill/net/list_record.py
+++ b/embersill/net/list_record.py
@@ -8,7 +8,7 @@
 import json
 import logging
 import zlib
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from typing import Any, NamedTuple
 
 from embersill.interface import Backend, BackendStatus
@@ -16,6 +16,7 @@
 from embersill.net.listing import Address, Entry
 
 FORMAT_VERSION = 1
+NO_ENTRIES: Mapping[str, Entry] = {}
 
 log = logging.getLogger("embersill")
 
@@ -52,8 +53,11 @@
         backend.rating, backend.started_at, *entry.address]
 
 
-def decode_entry(row: Sequence[Any]) -> Entry:
-    """Raises ValueError or TypeError where the row is malformed."""
+def decode_entry(row: Sequence[Any], present: Mapping[str, Entry]) -> Entry:
+    """Returns the entry of a row, that of `present` if it is the same. ValueError, TypeError if malformed."""
+    same = present.get(row[0]) if row else None
+    if same is not None and encode_entry(same) == row:
+        return same
     backend_id, zone, machine_type, cell, status, rating, started_at, host, port = row
     backend = Backend(
         str(backend_id), str(zone), str(machine_type), int(cell), BackendStatus(status), float(rating),
@@ -81,25 +85,30 @@
         moment("requested_at"), moment("received_at"), addresses("reloaded_to"))
 
 
-def decode_record(line: bytes) -> ListRecord:
-    """Reads a line; raises ValueError, LookupError or TypeError if it is incomplete or malformed."""
+def decode_record(line: bytes, present: Mapping[str, Entry] = NO_ENTRIES) -> ListRecord:
+    """Reads a line; raises ValueError, LookupError or TypeError if it is incomplete or malformed.
+
+    `present`: entries, by the backend's id, that are used again where the record has the same.
+    """
     version, checksum, text = line.split(b" ", 2)
     if int(version) != FORMAT_VERSION or int(checksum) != zlib.crc32(text):
         raise ValueError("of another version, or incomplete")
     message = json.loads(text)
     position = message.get("position")
     return ListRecord(
-        tuple(decode_entry(row) for row in message["entries"]), bool(message.get("full")),
+        tuple(decode_entry(row, present) for row in message["entries"]), bool(message.get("full")),
         None if position is None else decode_position(position), int(message.get("base", 0)))
 
 
-def decode_records(text: bytes) -> tuple[list[ListRecord], int]:
+def decode_records(
+    text: bytes, present: Mapping[str, Entry] = NO_ENTRIES
+) -> tuple[list[ListRecord], int]:
     """Returns the records up to the first incomplete or malformed line, and their size in bytes."""
     records: list[ListRecord] = []
     size = 0
     while (end := text.find(b"\n", size)) >= 0:
         try:
-            records.append(decode_record(text[size:end]))
+            records.append(decode_record(text[size:end], present))
         except (ValueError, LookupError, TypeError, AttributeError) as error:
             log.warning("the list that an earlier process left is read only in part: %s", error)
             break
--- a/embersill/program.py
+++ b/embersill/program.py
@@ -55,6 +55,7 @@
 DEFAULT_MEMORY_MB = 32
 USED_MEMORY = 20 * MB  # bytes used by the runtime and the program without traffic, with a margin
 FIRST_LIST_TIMEOUT = 0.3  # seconds to wait for discovery's list before the cached list is used
+READ_AHEAD_AFTER = 0.1  # seconds of them after which the list that an earlier process left is read
 # Seconds after SIGTERM in which clients still connect: the time that the protocol allows them, with a margin.
 ACCEPT_AFTER_SIGTERM = 0.5
 # Seconds: SIGKILL follows SIGTERM no earlier than after the longest deadline, or MAX_COUNTED_DEADLINE if that
@@ -418,11 +419,9 @@
         if not has_predecessor:
             await self.listen_for_clients()
         self.discovery_task = self.loop.create_task(self.discovery.run())
-        try:
-            async with asyncio.timeout(FIRST_LIST_TIMEOUT):
-                await self.discovery.has_responded.wait()
-        except TimeoutError:
-            pass
+        if not await self.wait_for_list(READ_AHEAD_AFTER):
+            self.lists.read_ahead()
+            await self.wait_for_list(FIRST_LIST_TIMEOUT - READ_AHEAD_AFTER)
         if not has_predecessor or not await self.handover.take_over():
             self.handover.restore_from_files()
             if has_predecessor:
@@ -434,6 +433,14 @@
         self.lists.start_log()
         self.overload.start()
 
+    async def wait_for_list(self, seconds: float) -> bool:
+        """Waits for discovery's first list; returns whether it is there."""
+        try:
+            async with asyncio.timeout(seconds):
+                return await self.discovery.has_responded.wait()
+        except TimeoutError:
+            return False
+
     def on_reload_signal(self) -> None:
         self.reload()
         self.handover.send_reload()
