--- a/embersill/net/list_exchange.py
+++ b/embersill/net/list_exchange.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
-from embersill.interface import ListKind
+from embersill.interface import BackendStatus, ListKind
 from embersill.net.discovery import Discovery
 from embersill.net.list_feed import changed_entries
 from embersill.net.list_log import LIST_LOG_NAME, ListLog, ListLogReader, read_all, read_last_position
@@ -42,12 +42,12 @@
     """
 
     addresses: tuple[Address, ...]
-    snapshot: ListSnapshot
+    position: ListPosition
+    entries: tuple[Entry, ...]
     source: ListSource
 
     def listing(self) -> Listing:
-        return Listing(
-            ListKind.CACHED, self.snapshot.position.generation, tuple(self.snapshot.entries.values()))
+        return Listing(ListKind.CACHED, self.position.generation, self.entries)
 
 
 def choose_initial_list(
@@ -65,9 +65,9 @@
     own = ListPosition(generation, generation, addresses)
     if logged is not None and is_of_this_gateway(logged.position, addresses):
         if choose_predecessor_list(logged.position, own, addresses):
-            return InitialList(addresses, logged, ListSource.LIST_LOG)
-    entries = {entry.backend.address: entry for entry in known.entries}
-    return InitialList(addresses, ListSnapshot(own, entries), ListSource.CONFIGURATION)
+            return InitialList(
+                addresses, logged.position, tuple(logged.entries.values()), ListSource.LIST_LOG)
+    return InitialList(addresses, own, known.entries, ListSource.CONFIGURATION)
 
 
 class ListExchange:
@@ -86,6 +86,7 @@
         `file_addresses`: of discovery, by the configuration file.
         """
         self.discovery, self.directory, self.reader = discovery, directory, reader
+        reader.present = discovery.feed.delivered
         self.file_addresses = file_addresses
         self.log = ListLog(directory, discovery.feed.delivered)
         self.position = discovery.position  # of the last list that was delivered completely
@@ -159,7 +160,9 @@
         if own.shares_discovery(position.discovery) and not position.is_newer_than(own):
             return None
         if change.is_full:
-            entries = {entry.backend.address: entry for entry in change.entries}
+            entries = {
+                entry.backend.address: entry for entry in change.entries
+                if entry.backend.status is not BackendStatus.REMOVED}
             return self.adopt(ListSnapshot(position, entries), ListSource.PEER)
         self.discovery.feed.change(position.generation, change.entries)
         # changes since a list that this process does not have leave its position where it was
@@ -195,7 +198,9 @@
         if self.is_newer(position):
             snapshot = self.reader.read(descriptor)
             self.reader.forget()
-            return self.note_no_list() if snapshot is None else self.adopt(snapshot, ListSource.PEER)
+            if snapshot is None or not self.is_newer(snapshot.position):  # only a part could be read
+                return self.note_no_list()
+            return self.adopt(snapshot, ListSource.PEER)
         asyncio.get_running_loop().call_later(DIFFERENCE_DELAY, self.send_difference, descriptor)
         return None
 
--- a/embersill/net/list_log.py
+++ b/embersill/net/list_log.py
@@ -26,7 +26,7 @@
 MIN_REWRITE_BYTES = 64 * 1024  # of changes, from which a log is written anew
 RETRY_DELAY = 0.5  # seconds until the next try after a failed write
 READ_BYTES = 1024 * 1024  # read at a time
-LAST_RECORD_BYTES = 4096  # read to find the last record, if that has only a position
+LAST_RECORD_BYTES = 64 * 1024  # read to find the last record, if that has only a position
 MAX_LOG_BYTES = 16 * 1024 * 1024  # of a log that is read; some ten thousand backends take 2 MB
 
 log = logging.getLogger("embersill")
@@ -55,9 +55,9 @@
 class ListLogReader:
     """Reads the log of an earlier process, later only what has been added to the same list."""
 
-    def __init__(self, present: Mapping[str, Entry] | None = None) -> None:
-        """`present`: entries, by the backend's id, that are used again where the log has the same."""
-        self.present: Mapping[str, Entry] = present or {}
+    def __init__(self) -> None:
+        # entries, by the backend's id, that are used again where the log has the same
+        self.present: Mapping[str, Entry] = {}
         self.file_id = (0, 0)  # device and inode of the file that was read
         self.offset = 0
         self.entries: dict[str, Entry] = {}
@@ -97,8 +97,7 @@
         return ListSnapshot(known_to_be_past(self.position), self.entries)
 
     def forget(self) -> None:
-        """Drops what was read, and what it was compared with."""
-        self.present = {}
+        """Drops what was read."""
         self.file_id, self.offset = (0, 0), 0
         self.entries, self.position = {}, None
 
@@ -133,6 +132,7 @@
         self.initial_bytes = self.appended_bytes = 0
         self.rewriting: asyncio.Task[None] | None = None
         self.new_descriptor = -1  # of the log that is being written beside the present one
+        self.rewrites = 0  # started so far
         self.retry_timer: asyncio.TimerHandle | None = None
         self.failing = False  # the last try to write it failed
 
@@ -180,7 +180,8 @@
         written, so that it never undoes a change before it.
         """
         assert self.path is not None
-        temporary = f"{self.path}.{os.getpid()}"
+        self.rewrites += 1
+        temporary = f"{self.path}.{os.getpid()}.{self.rewrites}"
         try:
             self.new_descriptor = os.open(
                 temporary, os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
@@ -188,12 +189,12 @@
             os.replace(temporary, self.path)
             status = os.fstat(self.new_descriptor)
         except (OSError, asyncio.CancelledError) as error:
-            self.rewriting = None
-            self.close_new()
             with suppress(OSError):
                 os.unlink(temporary)
-            if not isinstance(error, OSError):
+            if isinstance(error, asyncio.CancelledError):
                 raise
+            self.rewriting = None
+            self.close_new()
             return self.retry_later(error)
         self.rewriting, self.failing = None, False
         self.close_present()
@@ -266,6 +267,7 @@
         """Leaves the log to the other process."""
         if self.rewriting is not None:
             self.rewriting.cancel()
+            self.rewriting = None
         if self.retry_timer is not None:
             self.retry_timer.cancel()
             self.retry_timer = None
--- a/embersill/program.py
+++ b/embersill/program.py
@@ -245,20 +245,19 @@
 
         A predecessor that runs may hand over its list: it is read from the log only if that fails.
         """
-        directory = configuration.state_directory
-        reader = ListLogReader({entry.backend.address: entry for entry in configuration.known.entries})
+        directory, reader = configuration.state_directory, ListLogReader()
         initial = choose_initial_list(
             configuration.known, configuration.discovery, configuration.file_discovery,
             reader.read_from(directory) if directory and not has_predecessor else None)
-        entries, position = initial.snapshot.entries, initial.snapshot.position
         self.driver.on_list(initial.listing())
         self.discovery = Discovery(
             initial.addresses, configuration.limits.dial_timeout, self.driver.on_list,
-            position.generation if entries else None, configuration.seed, configuration.settings.gateways,
-            configuration.limits.grace if configuration.settings.list_pushed else None, entries.values())
+            initial.position.generation if initial.entries else None, configuration.seed,
+            configuration.settings.gateways,
+            configuration.limits.grace if configuration.settings.list_pushed else None, initial.entries)
         if initial.source is ListSource.LIST_LOG:
-            self.discovery.adopt(position, initial.source)
-        if len(entries) > SLICE_ENTRIES:
+            self.discovery.adopt(initial.position, initial.source)
+        if len(initial.entries) > SLICE_ENTRIES:
             list_decoder()  # loaded now, so that the first long list is not delayed
         self.lists = ListExchange(self.discovery, directory, reader, configuration.file_discovery)
 
--- a/tests/test_list_log.py
+++ b/tests/test_list_log.py
@@ -209,6 +209,21 @@
     with_log(test, tmp_path, 3)
 
 
+def test_a_log_that_is_stopped_while_it_is_written_can_be_started_again_at_once(
+    tmp_path: pathlib.Path
+) -> None:
+    async def test(log: ListLog, entries: dict[str, Entry]) -> None:
+        await asyncio.sleep(0)
+        assert log.new_descriptor >= 0
+        log.stop()
+        log.start(POSITION)
+        await settled(log)
+        assert read(tmp_path) == ListSnapshot(POSITION, entries)
+        assert os.listdir(tmp_path) == [LIST_LOG_NAME]
+
+    with_log(test, tmp_path, LONG)
+
+
 def test_without_a_folder_a_copy_is_made_in_memory() -> None:
     async def test() -> None:
         entries = make_entries(3)
