Apply changes of the list in one place, and read a handed-over position once

On reading the whole change again: the loop that applies entries to a list stood in the feed, in the log's reader and, in another form, where a whole list is received; apply_entries serves all three. The position of a handed-over list was read from its file a second time, and one more assignment repeated what is set with each change. No behaviour changes.

--- a/embersill/net/list_exchange.py
+++ b/embersill/net/list_exchange.py
@@ -12,9 +12,9 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
-from embersill.interface import BackendStatus, ListKind
+from embersill.interface import ListKind
 from embersill.net.discovery import Discovery
-from embersill.net.list_feed import changed_entries
+from embersill.net.list_feed import apply_entries, changed_entries
 from embersill.net.list_log import LIST_LOG_NAME, ListLog, ListLogReader, read_all, read_last_position
 from embersill.net.list_position import (
     ListPosition, ListSnapshot, ListSource, choose_predecessor_list,
@@ -160,9 +160,8 @@
         if own.shares_discovery(position.discovery) and not position.is_newer_than(own):
             return None
         if change.is_full:
-            entries = {
-                entry.backend.address: entry for entry in change.entries
-                if entry.backend.status is not BackendStatus.REMOVED}
+            entries: dict[str, Entry] = {}
+            apply_entries(entries, change.entries)
             return self.adopt(ListSnapshot(position, entries), ListSource.PEER)
         self.discovery.feed.change(position.generation, change.entries)
         # changes since a list that this process does not have leave its position where it was
@@ -201,7 +200,8 @@
             if snapshot is None or not self.is_newer(snapshot.position):  # only a part could be read
                 return self.note_no_list()
             return self.adopt(snapshot, ListSource.PEER)
-        asyncio.get_running_loop().call_later(DIFFERENCE_DELAY, self.send_difference, descriptor)
+        asyncio.get_running_loop().call_later(
+            DIFFERENCE_DELAY, self.send_difference, descriptor, position.generation)
         return None
 
     def read_log(self) -> None:
@@ -236,10 +236,10 @@
         log.warning(
             "the predecessor hands over no list: this process goes by %s", self.discovery.describe_list())
 
-    def send_difference(self, descriptor: int) -> None:
-        """Tells the predecessor what its list lacks, and closes the descriptor of that list."""
-        own, predecessor = self.position, read_last_position(descriptor)
-        if self.send is None or predecessor is None or own.generation == predecessor.generation:
+    def send_difference(self, descriptor: int, generation: int) -> None:
+        """Tells the predecessor what its list, of this generation, lacks, and closes that list."""
+        own = self.position
+        if self.send is None or own.generation == generation:
             self.reader.forget()
             return os.close(descriptor)
         snapshot = self.reader.read(descriptor)
@@ -259,7 +259,6 @@
 
     def hand_over(self) -> int:
         """Returns a descriptor to read the list from, or -1; the log is the successor's from now on."""
-        self.log.position = self.position
         descriptor = self.log.open_copy()
         self.log.stop()
         return descriptor
--- a/embersill/net/list_feed.py
+++ b/embersill/net/list_feed.py
@@ -134,15 +134,20 @@
         """Records the entries as delivered and calls `on_list` with them."""
         if kind is not ListKind.CHANGES:
             self.delivered.clear()
-        for entry in entries:
-            if entry.backend.status is BackendStatus.REMOVED:
-                self.delivered.pop(entry.backend.address, None)
-            else:
-                self.delivered[entry.backend.address] = entry
+        apply_entries(self.delivered, entries)
         self.on_list(Listing(kind, generation, entries))
         self.on_part(kind is not ListKind.CHANGES, entries)
 
 
+def apply_entries(present: dict[str, Entry], entries: Iterable[Entry]) -> None:
+    """Applies changes to the entries of a list, which are by the backend's id."""
+    for entry in entries:
+        if entry.backend.status is BackendStatus.REMOVED:
+            present.pop(entry.backend.address, None)
+        else:
+            present[entry.backend.address] = entry
+
+
 def changed_entries(
     present: Mapping[str, Entry], wanted: Mapping[str, Entry], is_full: bool
 ) -> list[Entry]:
--- a/embersill/net/list_log.py
+++ b/embersill/net/list_log.py
@@ -15,8 +15,7 @@
 from collections.abc import Mapping
 from contextlib import suppress
 
-from embersill.interface import BackendStatus
-from embersill.net.list_feed import SLICE_ENTRIES
+from embersill.net.list_feed import SLICE_ENTRIES, apply_entries
 from embersill.net.list_position import ListPosition, ListSnapshot
 from embersill.net.list_record import ListRecord, decode_record, decode_records, encode_snapshot
 from embersill.net.listing import Entry
@@ -104,11 +103,7 @@
     def apply(self, record: ListRecord) -> None:
         if record.is_full:
             self.entries.clear()
-        for entry in record.entries:
-            if entry.backend.status is BackendStatus.REMOVED:
-                self.entries.pop(entry.backend.address, None)
-            else:
-                self.entries[entry.backend.address] = entry
+        apply_entries(self.entries, record.entries)
         self.position = record.position or self.position
 
 
