--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,7 +9,7 @@
 from _pytest.terminal import TerminalReporter
 
 from tests.known_red import mark_known_failures, read_known_failures
-from tests.machine_load import MachineLoad, describe_load
+from tests.machine_load import MachineLoad, describe_load, spread_evenly
 
 ROOT = pathlib.Path(__file__).parent.parent
 LOAD_BEFORE = pytest.StashKey[MachineLoad]()
@@ -20,6 +20,9 @@
     narrowed = config.getoption("keyword") or config.getoption("markexpr")
     whole = not narrowed and all(path in (ROOT, ROOT / "tests") for path in asked)
     mark_known_failures(read_known_failures(ROOT / "KNOWN-RED.txt"), items, whole)
+    heavy = [item for item in items if item.get_closest_marker("heavy")]
+    light = [item for item in items if not item.get_closest_marker("heavy")]
+    items[:] = spread_evenly(heavy, light)  # neighbours run at the same time
 
 
 def pytest_runtest_setup(item: pytest.Item) -> None:
--- a/tests/test_incident_crowds.py
+++ b/tests/test_incident_crowds.py
@@ -1,5 +1,7 @@
 """Incident of 2026-12: crowds whose peers come again took a gateway over the memory that the kernel counts.
 
+pytestmark = pytest.mark.heavy
+
 A crowd begins before the gateway does, and goes on while the process is killed, ended or upgraded.
 """
 
--- a/tests/test_incident_flood.py
+++ b/tests/test_incident_flood.py
@@ -17,6 +17,8 @@
 )
 from tests.soak_bed import SoakBed, signature_head
 
+pytestmark = pytest.mark.heavy
+
 FLOOD_TIME = 3.0  # seconds
 WORK = 0.1  # seconds that a backend takes for a request
 # Seconds above the work for nine answers in ten: a gateway has to notice a client's close, and so to turn to
--- a/tests/test_incident_shared_memory.py
+++ b/tests/test_incident_shared_memory.py
@@ -25,6 +25,8 @@
 from tests.peers import CounterPeer
 from tests.soak_bed import CHUNKED, SoakBed, signature_head
 
+pytestmark = pytest.mark.heavy
+
 STAY = 5.0  # seconds after which a peer leaves in any case
 KEPT_SIZE = 64_000  # bytes of a body or answer, just below what is kept whole
 LONG_SIZE = 400_000  # bytes of a body or answer that is passed on as it comes
