Measure the memory of a test in pages of its own, which no heap can serve

The test took 8 MB from the C library's heap, which in a worker that had run other tests held as many free resident pages; nothing new was asked of the kernel. Shown: with 20 MB freed below a block that stays, the old test fails in the same way (growth 0); the new one passes 30 of 30 so. The 8 MB are now an anonymous mapping of the test's own, and garbage is collected before the first reading. The bounds are as they were.

--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import os
+import gc
+import mmap
 from collections import Counter
 from collections.abc import Awaitable, Callable
 
@@ -11,7 +12,7 @@
 
 from embersill.net.memory import MAX_PIPELINED, MB, UNCHARGED_SIZE, Account, MemoryBudget
 from embersill.net.overload import CHARGE_PER_CHECK, MIN_CONNECTIONS, OverloadManager
-from embersill.net.process_memory import ProcessMemory
+from embersill.net.process_memory import PAGE_SIZE, ProcessMemory
 from tests.bed import run
 
 LIMIT = 64 * MB
@@ -137,10 +138,12 @@
 
 def test_the_anonymous_memory_is_the_kernels_figure() -> None:
     memory = ProcessMemory()
+    gc.collect()  # nothing else is given back between the two readings
     before = memory.anonymous_bytes()
-    held = bytearray(os.urandom(8 * MB))
-    assert 8 * MB <= memory.anonymous_bytes() - before <= 20 * MB and held
-    del held
+    with mmap.mmap(-1, 8 * MB, flags=mmap.MAP_PRIVATE | mmap.MAP_ANONYMOUS) as pages:
+        for start in range(0, 8 * MB, PAGE_SIZE):
+            pages[start] = 1
+        assert 8 * MB <= memory.anonymous_bytes() - before <= 20 * MB
     memory.give_back()
     memory.close()
     assert memory.anonymous_bytes() == 0
