Count connections after a wait alone where a test reloads pool settings

The new settings close a connection that was idle for 0.1 s, and the test asked a request directly after the second reload: where the reload took longer than that, this request had its own connection, rightly, and the one after the wait a third. Shown: with a pause of 0.12 or 0.3 s before it the old test fails so, with 0 and 0.05 s it passes. Each request now comes after a wait of 0.2 s, and the connections are counted after each: one while the old settings are kept (which was not checked before), two after the new ones; passes with pauses of 0 to 0.3 s.

--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -180,15 +180,15 @@
             path = tmp_path / "config.json"
             original = json.loads(path.read_text())
             client = await bed.client()
-            for number, pool in enumerate(({"margin": "x"}, {"margin": 14.9})):
+            assert (await client.ask(request(0)))[0] == 200
+            for number, pool, connections in ((1, {"margin": "x"}, 1), (2, {"margin": 14.9}, 2)):
                 path.write_text(json.dumps({**original, "pool": pool}))
                 child.send_signal(signal.SIGHUP)
                 line = (await child.stderr.readline()).decode()
-                assert ("the configuration stays as it was" in line) == (not number), line
+                assert ("the configuration stays as it was" in line) == (connections == 1), line
+                await asyncio.sleep(0.2)  # longer than the last margin lets a connection be idle
                 assert (await client.ask(request(number)))[0] == 200
-            await asyncio.sleep(0.2)  # longer than connections may now be idle
-            assert (await client.ask(request(2)))[0] == 200
-            assert bed.backends[0].connections == 2
+                assert bed.backends[0].connections == connections
 
     run(test)
 
