--- a/tests/test_cold_ramp.py
+++ b/tests/test_cold_ramp.py
@@ -174,21 +174,39 @@
     assert max(made.excess("cold0"), made.excess("cold1")) <= 0
 
 
+def hand_over_all(made: Fleet, now: float) -> None:
+    """Each gateway gets a successor; its predecessor ends the requests that it has."""
+    for me, predecessor in enumerate(made.nodes):
+        successor = made.node(me, now)
+        successor.handle(backends(*(server.backend for server in predecessor.servers.values())), now)
+        successor.on_predecessor_state(predecessor.hand_over(now))
+        made.nodes[me] = successor
+
+
 @pytest.mark.parametrize("gateways", [3, 20, 30])
 @pytest.mark.parametrize("how", ["errors", "short work"])
 def test_the_budget_holds_over_hand_overs(how: str, gateways: int) -> None:
     """The successor continues in the window that its predecessor has started."""
     made = fleet(gateways)
     made.ends = dict.fromkeys(("cold0", "cold1"), lambda dice: RESULTS[how])
-    backend_count, now = max(gateways, 12), STARTS + 1.0
-    made.play(now)
-    for me in range(gateways):
-        successor = made.node(me, now)
-        listed = [backend(f"w{n}") for n in range(backend_count - 2)]
-        listed += [backend(f"cold{n}", started=STARTS) for n in range(2)]
-        successor.handle(backends(*listed), now)
-        successor.on_predecessor_state(made.nodes[me].hand_over(now))
-        made.nodes[me] = successor
+    made.play(STARTS + 1.0)
+    hand_over_all(made, STARTS + 1.0)
+    made.play(ENDS)
+    assert max(made.excess("cold0"), made.excess("cold1")) <= 0
+
+
+@pytest.mark.parametrize("gateways", [1, 3, 20, 30])
+@pytest.mark.parametrize("how", ["errors", "short work", "work"])
+@pytest.mark.parametrize("after", [0.05, 0.3, 0.5, 1.0])
+def test_the_budget_holds_while_predecessors_repeat_what_failed_after_the_hand_over(
+    after: float, how: str, gateways: int
+) -> None:
+    """Neither process is told what the other one sends to a cold backend from then on."""
+    made = fleet(gateways)
+    made.ends = {f"w{n}": lambda dice: (Outcome.ERROR, 0.4) for n in range(max(gateways, 12))}
+    made.ends |= dict.fromkeys(("cold0", "cold1"), lambda dice: RESULTS[how])
+    made.play(STARTS + after)
+    hand_over_all(made, STARTS + after)
     made.play(ENDS)
     assert max(made.excess("cold0"), made.excess("cold1")) <= 0
 
