Hold the first answer back until the same request has come again

test_a_request_that_comes_again_while_it_is_open_is_not_out_twice[keyed] failed once of one run of the suite (-n 14, without the heavy tests) in which the workers were stopped again and again for up to 0.3 s: the second request got 200 where 502 was wanted. The test sends the second request 0.12 s after the first, whose backend works for 0.3 s; where the test stands still in between, the first is answered before the second comes, and a repeat then gets the same answer, rightly. With 0.3 s of standing still after the wait the old test fails so. The backend now answers 0.3 s after the second request has been refused; the assertions are as they were, and both tests pass with the same standstill.

--- a/tests/test_incident_returning_ids.py
+++ b/tests/test_incident_returning_ids.py
@@ -117,12 +117,22 @@
     klass: RequestClass, tmp_path: pathlib.Path
 ) -> None:
     async def test() -> None:
-        backends = ScriptedBackends(respond)
+        came_again = asyncio.Event()
+
+        async def respond_late(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter, headers: dict[str, str]
+        ) -> None:
+            await came_again.wait()
+            await respond(reader, writer, headers)
+
+        backends = ScriptedBackends(respond_late)
         async with incident_bed(tmp_path, backends, DEPLOYMENT) as bed:
             for number in range(ROUNDS):
+                came_again.clear()
                 first = asyncio.create_task(send_again(bed.gateway.port, f"open-{number}", klass))
                 await asyncio.sleep(LEAVES_AFTER)
                 assert await send_again(bed.gateway.port, f"open-{number}", klass) == 502
+                came_again.set()
                 assert await first == 200
                 assert len(backends.attempts_of(f"open-{number}")) == 1
 
