Hold a request for two seconds where a test wants it held at the end

test_a_held_request_at_the_end_is_refused_and_one_that_may_have_run_is_failed failed in one of one run of the suite in which the workers were stopped again and again for up to 0.3 s: 504 in place of 503. The request was held for 0.2 s and the end takes 0.15 s; where the process stands still in between, the request is released and an attempt begins before the end. With 0.3 s of standing still 0.01 s after the stop's start the old test fails 3 of 3, the new one passes 3 of 3: the request needs one unit in place of 0.1, which takes 2 s.

--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -105,7 +105,7 @@
         throttle = gateway.throttles["00000000000000c2"] = gateway.new_throttle("00000000000000c2", plan, 2)
         throttle.quota_level = 0.0
         throttle.low_rate = False
-        held.send(request(2, budget=60.0, plan="pro", customer="00000000000000c2", units="0.1"))
+        held.send(request(2, budget=60.0, plan="pro", customer="00000000000000c2", units="1"))
         while not throttle.queue:
             await asyncio.sleep(0)
         await bed.program.stop(0.0, 0.0)
