Name in one place what a process takes from the other one in an upgrade

The message of a hand-over added the lists apart from the rest, and hand_over copied state and list itself. Both processes now send the same constant, and copy_to_memory makes the copies. No message has changed. Hand-over, list, upgrade and start tests (116) pass.

--- a/embersill/net/handover.py
+++ b/embersill/net/handover.py
@@ -39,6 +39,8 @@
 # Seconds for which as much is freed as a successor needs; after that it waits until there is room by itself.
 MAKE_ROOM_TIMEOUT = 3.0
 CONNECTION_COUNT_INTERVAL = 0.25  # seconds between the predecessor's reports of its open connections
+# What this version takes from the other process: runs, as "ran", and lists, as "list" and as a descriptor.
+SUPPORTED_MESSAGES: Message = {"runs": True, "lists": True}
 
 log = logging.getLogger("embersill")
 
@@ -119,7 +121,7 @@
     async def take_over(self) -> bool:
         """Asks the predecessor to hand over; returns False if it did not in time."""
         if self.channel is None or not self.channel.send(
-            {"say": "take", "console": self.console_address, "runs": True, "lists": True, **self.memory_use()}
+            {"say": "take", "console": self.console_address, **SUPPORTED_MESSAGES, **self.memory_use()}
         ):
             return False
         try:
@@ -271,15 +273,11 @@
         self.driver.pool.stop_keeping_idle()
         state = {**self.driver.hand_over(), "monotonic": time.monotonic()}
         self.write_state(state)  # for older versions; may fail, for example on a full disk
-        message = {"say": "given", **self.connection_counts(), "lame_duck": self.lame_duck.remaining(),
-                   "runs": True, **self.memory_use()}
-        memory_file = create_memory_file(serialize_state(state))
-        files = [] if memory_file < 0 else [memory_file]
-        if files and self.lists.send is not None:
-            list_copy = self.lists.hand_over()
-            files += [] if list_copy < 0 else [list_copy]
-        sent = self.channel.send({**message, "lists": True}, listener.fileno(), *files)
-        for descriptor in files:
+        descriptors = self.copy_to_memory(state)
+        message = {"say": "given", **SUPPORTED_MESSAGES, **self.connection_counts(),
+                   "lame_duck": self.lame_duck.remaining(), **self.memory_use()}
+        sent = self.channel.send(message, listener.fileno(), *descriptors)
+        for descriptor in descriptors:
             os.close(descriptor)
         if not sent:
             return self.resume_serving()
@@ -289,6 +287,14 @@
         self.front.hand_over_idle()
         self.loop.call_later(CONNECTION_COUNT_INTERVAL, self.send_connection_counts)
 
+    def copy_to_memory(self, state: Message) -> list[int]:
+        """Descriptors of the state and, if the successor takes it, of the list; none that can't be made."""
+        state_copy = create_memory_file(serialize_state(state))
+        if state_copy < 0:
+            return []
+        list_copy = self.lists.hand_over() if self.lists.send is not None else -1
+        return [state_copy] if list_copy < 0 else [state_copy, list_copy]
+
     def move_connection(self, connection: ClientConnection) -> bool:
         """Passes a client connection to the successor; returns False if that is impossible now."""
         if self.channel is None or connection.transport is None:
