Confirm an older answer of discovery before a predecessor's list is given up for it

What callers saw: an upgrade in which the successor reached only a replica that had not been told of a drain sent to the draining backend again, from both processes, as the successor told its predecessor of the older list.

Cause: of two lists the one that was asked for later counted, whatever its generation; a running process asks once more before it believes a lower one, and never believes a replica that is not the leader.

Fix: a successor whose answer is later but of a lower generation goes by its predecessor's list, and requests the full list once more, over a new connection. What that brings is judged as in a running process.

The tests' successors connect to the running process before they load its list, as the real program does; before, they read the log first, which hid this.

--- a/embersill/net/discovery.py
+++ b/embersill/net/discovery.py
@@ -252,7 +252,7 @@
             self.max_backoff = min(max(BACKOFF_GRACE_SHARE * grace, MIN_BACKOFF), MAX_BACKOFF)
             self.answer_margin = min(max(ANSWER_MARGIN_GRACE_SHARE * grace, MIN_BACKOFF), ANSWER_MARGIN)
         self.connecting_timeout: asyncio.Timeout | None = None  # of a call that is connecting
-        self.addresses_changed = asyncio.Event()  # set by new addresses: ends a pause
+        self.call_superseded = asyncio.Event()  # set if the next call is to be made at once: ends a pause
         self.figures: Tally[str] = Tally()
         # seconds in which all gateways have a turn after rejected calls, and at an address that takes over
         self.retry_spread = gateways / FLEET_CALL_RATE if gateways > MAX_UNSPREAD_GATEWAYS else 0.0
@@ -322,17 +322,17 @@
         a change during a pause would be missed if an outage began before the end of the pause.
         """
         while True:
-            self.addresses_changed.clear()
+            self.call_superseded.clear()
             try:
                 listing = await self.call()
             except AnswerSuperseded:
                 continue
             except (OSError, TimeoutError, InvalidList, Overloaded, ReplicaLagging, ValueError) as error:
-                if not self.addresses_changed.is_set():
+                if not self.call_superseded.is_set():
                     await self.pause(self.handle_failure(error))
                 continue
-            if self.addresses_changed.is_set():
-                continue  # the answer is from a previous address
+            if self.call_superseded.is_set():
+                continue  # the answer is from a previous address, or older than the list in use
             self.backoff, self.consecutive_timeouts = MIN_BACKOFF, 0
             if self.failing:
                 log.info("discovery answers again")
@@ -403,10 +403,10 @@
         return min(pause * self.jitter(), remaining)
 
     async def pause(self, seconds: float) -> None:
-        """Waits, or until there are other addresses."""
+        """Waits, or until the next call is to be made at once."""
         try:
             async with asyncio.timeout(seconds):
-                await self.addresses_changed.wait()
+                await self.call_superseded.wait()
         except TimeoutError:
             pass
 
@@ -509,10 +509,22 @@
             self.generation, self.newest_generation = None, 0
             self.position = self.position._replace(reloaded_to=self.addresses)
             self.backoff, self.consecutive_timeouts = MIN_BACKOFF, 0
-            self.addresses_changed.set()
-            if self.connecting_timeout is not None:
-                self.connecting_timeout.reschedule(self.loop.time())
-            self.disconnect()
+            self.supersede_call()
+
+    def confirm_older_list(self) -> None:
+        """Requests the full list at once, as an answer was of an older generation than the list in use.
+
+        If that one is older too, it is accepted, as by `reject_older`.
+        """
+        self.generation, self.last_list_was_older = None, True
+        self.supersede_call()
+
+    def supersede_call(self) -> None:
+        """Cancels a pending call or pause; the next call is made at once, over a new connection."""
+        self.call_superseded.set()
+        if self.connecting_timeout is not None:
+            self.connecting_timeout.reschedule(self.loop.time())
+        self.disconnect()
 
     def disconnect(self) -> None:
         """Closes the connection, if there is one."""
--- a/embersill/net/list_exchange.py
+++ b/embersill/net/list_exchange.py
@@ -199,7 +199,7 @@
             self.reader.forget()
             if snapshot is None or not self.is_newer(snapshot.position):  # only a part could be read
                 return self.note_no_list()
-            return self.adopt(snapshot, ListSource.PEER)
+            return self.adopt_predecessor_list(snapshot, ListSource.PEER)
         asyncio.get_running_loop().call_later(
             DIFFERENCE_DELAY, self.send_difference, descriptor, position.generation)
         return None
@@ -213,7 +213,16 @@
         self.follow_reload(snapshot.position)
         is_own = is_of_this_gateway(snapshot.position, self.discovery.addresses)
         if is_own and self.is_newer(snapshot.position):
-            self.adopt(snapshot, ListSource.LIST_LOG)
+            self.adopt_predecessor_list(snapshot, ListSource.LIST_LOG)
+
+    def adopt_predecessor_list(self, snapshot: ListSnapshot, source: ListSource) -> None:
+        """Goes by it; if discovery has answered with an older generation since, it is asked once more."""
+        own = self.discovery.position
+        is_doubtful = own.is_doubtful_after(snapshot.position)
+        self.adopt(snapshot, source)
+        if is_doubtful:
+            log.info("discovery answered with list %d: the full list is requested once more", own.generation)
+            self.discovery.confirm_older_list()
 
     def is_newer(self, predecessor: ListPosition) -> bool:
         """Whether the predecessor's list counts in place of that of this process."""
--- a/embersill/net/list_position.py
+++ b/embersill/net/list_position.py
@@ -62,6 +62,17 @@
             return True
         return self.received_at >= other.requested_at and self.generation > other.generation
 
+    def is_doubtful_after(self, other: ListPosition) -> bool:
+        """Whether this answer came after the other one, from the same discovery, with a lower generation.
+
+        Discovery may have restarted its generations, or a replica or a cache answers that is out of date.
+        """
+        if self.received_at is None or other.received_at is None:
+            return False
+        if not self.shares_discovery(other.discovery):
+            return False
+        return self.generation < other.generation and self.is_newer_than(other)
+
     def advanced(
         self, generation: int, discovery: tuple[Address, ...], requested_at: float, received_at: float
     ) -> ListPosition:
@@ -98,8 +109,8 @@
 
     `addresses`: of the discovery that the successor follows. Where the predecessor's list is from another
     one, an answer that the successor has got itself counts, and else the predecessor's list, as the list of
-    a configuration may be out of date.
+    a configuration may be out of date. A doubtful answer counts once it is confirmed.
     """
     if predecessor.shares_discovery(addresses) and own.shares_discovery(predecessor.discovery):
-        return predecessor.is_newer_than(own)
+        return predecessor.is_newer_than(own) or own.is_doubtful_after(predecessor)
     return own.received_at is None or not own.shares_discovery(addresses)
--- a/tests/bed.py
+++ b/tests/bed.py
@@ -13,6 +13,7 @@
 import pytest
 import uvloop
 
+from embersill import start_gate
 from embersill.program import Program, build_configuration
 from embersill.lab.peers import HOST, HttpMessage, read_message, reset
 from embersill.net.backends import BackendConnection
@@ -37,9 +38,11 @@
         return max(super().anonymous_bytes() - self.of_tests, 0)
 
 
-def make_program(configuration: dict[str, Any], environ: dict[str, str]) -> Program:
-    """A gateway within the tests' process."""
-    program = Program(build_configuration(configuration, environ))
+def make_program(
+    configuration: dict[str, Any], environ: dict[str, str], predecessor: socket.socket | None = None
+) -> Program:
+    """A gateway within the tests' process; `predecessor`: a connection to the process that runs already."""
+    program = Program(build_configuration(configuration, environ), predecessor)
     program.process_memory.close()
     program.overload.memory = program.process_memory = MemoryWithoutTests()
     return program
@@ -191,10 +194,10 @@
             while self.program.driver.unanswered:
                 await asyncio.sleep(0.001)
 
-    async def successor(self, env: dict[str, Any], folder: str) -> Program:
-        """Starts a successor, at the same addresses but for its console."""
-        configuration = {**self.configuration(env, 1024), "listen": f"{HOST}:{self.port}"}
-        second = make_program(configuration, {"TMPDIR": folder})
+    async def successor(self, env: dict[str, Any], folder: str, **more: Any) -> Program:
+        """Starts a successor, at the same addresses but for its console; `more` is for its configuration."""
+        configuration = {**self.configuration(env, 1024), "listen": f"{HOST}:{self.port}", **more}
+        second = make_program(configuration, {"TMPDIR": folder}, start_gate.connect(folder))
         second.console_address = (HOST, 0)
         await second.start()
         return second
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -75,6 +75,7 @@
         self.silent = self.endless = False
         self.empty_watches = False  # watches are answered at once, without changes
         self.answers_to_omit = 0  # number of the next requests that get no answer
+        self.full_list_generation: int | None = None  # that the next request for the full list brings
 
     entry = staticmethod(entry)
 
@@ -96,6 +97,7 @@
             async with self.changed:
                 self.changed.notify_all()
                 if since is None:
+                    self.generation = self.full_list_generation or self.generation
                     body = self.listing(True, list(self.entries.values()))
                 else:
                     wait = re.search(r"timeout_ms=(\d+)", first)
--- a/tests/test_incident_upgrade_lists.py
+++ b/tests/test_incident_upgrade_lists.py
@@ -13,6 +13,7 @@
 
 import pytest
 
+from embersill.lab.soak.discovery_agent import DiscoveryAgent
 from tests.bed import run
 from tests.upgrade_bed import UpgradeBed, unused_entry, upgrade_bed
 
@@ -76,6 +77,25 @@
     run(test)
 
 
+def test_a_replica_that_has_not_been_told_takes_nothing_back(tmp_path: pathlib.Path) -> None:
+    """The successor reaches only a replica that is behind the discovery of its predecessor."""
+
+    async def test() -> None:
+        async with upgrade_bed(tmp_path) as bed:
+            replica = DiscoveryAgent(bed.known["instances"])
+            replica.generation = bed.known["generation"]
+            await replica.start()
+            await drain(bed)
+            bed.bed.agent.set_down(True)
+            await bed.upgrade(discovery=[replica.address, bed.bed.agent.address])
+            await bed.check_use({1, 2})
+            await bed.upgrade(discovery=[replica.address, bed.bed.agent.address])
+            await bed.check_use({1, 2})
+            await replica.stop()
+
+    run(test)
+
+
 def test_a_chain_of_upgrades_in_one_outage_passes_the_list_on(tmp_path: pathlib.Path) -> None:
     async def test() -> None:
         async with upgrade_bed(tmp_path) as bed:
--- a/tests/test_list_exchange.py
+++ b/tests/test_list_exchange.py
@@ -22,7 +22,7 @@
 from embersill.net.process_channel import Channel
 from embersill.program import Program
 from tests.bed import Bed, request, roomy_settings, run, running
-from tests.peers import SOON, entry
+from tests.peers import SOON, DiscoveryPeer, entry
 
 BACKENDS = 3
 
@@ -38,6 +38,10 @@
     return None if server is None else server.backend.status
 
 
+async def until_status(program: Program, backend: str, status: BackendStatus) -> None:
+    await until(lambda: status_of(program, backend) is status)
+
+
 async def stop_following(program: Program) -> None:
     """Ends the process's own calls to discovery, as if its connection hung."""
     assert program.discovery_task is not None
@@ -254,6 +258,73 @@
     return replace(made, backend=replace(made.backend, status=BackendStatus.DRAINING))
 
 
+def test_a_replica_behind_its_leader_does_not_take_back_what_the_predecessor_was_told(
+    tmp_path: pathlib.Path,
+) -> None:
+    """The successor asks it after the predecessor's last answer, so by time its list is the newer one."""
+    async def test() -> None:
+        async with running(BACKENDS, folder=str(tmp_path)) as bed:
+            replica = DiscoveryPeer()
+            replica.entries = dict(bed.discovery.entries)
+            replica.headers = ["Directory-Role: follower"]
+            await replica.start()
+            await bed.discovery.change(entry("b0", bed.backends[0].address, "DRAINING"))
+            await until(lambda: status_of(bed.program, "b0") is BackendStatus.DRAINING)
+            known = {"generation": 1, "reset": True, "instances": list(replica.entries.values())}
+            second = await bed.successor(
+                roomy_settings(), str(tmp_path), known=known,
+                discovery=[replica.address, bed.discovery.address])
+            bed.discovery.silent = True
+            for program in (bed.program, second):
+                assert status_of(program, "b0") is BackendStatus.DRAINING
+            await asyncio.sleep(0.3)  # the whole list is asked for once more
+            for program in (bed.program, second):
+                assert status_of(program, "b0") is BackendStatus.DRAINING
+            await second.stop(0.0, 0.0)
+            await replica.stop()
+
+    run(test)
+
+
+async def restart_discovery(bed: Bed) -> None:
+    """It counts from 1 again, with b0 serving; the predecessor, whose calls hang, was told list 2."""
+    await bed.discovery.change(entry("b0", bed.backends[0].address, "DRAINING"))
+    await until(lambda: status_of(bed.program, "b0") is BackendStatus.DRAINING)
+    await stop_following(bed.program)
+    bed.discovery.generation, bed.discovery.changes = 1, []
+    bed.discovery.entries["b0"] = entry("b0", bed.backends[0].address)
+
+
+def test_a_discovery_that_restarts_its_generations_is_asked_twice_and_obeyed(tmp_path: pathlib.Path) -> None:
+    async def test(bed: Bed, first: Program, second: Program) -> None:
+        for program in (second, first):
+            await until_status(program, "b0", BackendStatus.SERVING)
+            assert program.discovery.position.generation == 1
+            assert program.discovery.position.highest == 2
+        assert "since" not in bed.discovery.asked[-2] and not second.discovery.figures["list failed"]
+        await bed.discovery.change(entry("b1", bed.backends[1].address, "DRAINING"))
+        for program in (second, first):
+            await until_status(program, "b1", BackendStatus.DRAINING)
+
+    upgrade_test(test, tmp_path, restart_discovery)
+
+
+def test_one_old_answer_to_the_successor_takes_nothing_back(tmp_path: pathlib.Path) -> None:
+    """Discovery has the newer list when it is asked for the whole list once more."""
+    async def prepare(bed: Bed) -> None:
+        await restart_discovery(bed)
+        bed.discovery.entries["b0"] = entry("b0", bed.backends[0].address, "DRAINING")
+        bed.discovery.full_list_generation = 2
+
+    async def test(bed: Bed, first: Program, second: Program) -> None:
+        assert status_of(second, "b0") is BackendStatus.DRAINING
+        await until(lambda: second.discovery.source is ListSource.DISCOVERY)
+        assert second.discovery.position.generation == 2
+        assert status_of(second, "b0") is status_of(first, "b0") is BackendStatus.DRAINING
+
+    upgrade_test(test, tmp_path, prepare)
+
+
 @pytest.mark.parametrize("form", ["change", "replace"])
 def test_a_list_that_is_being_delivered_undoes_nothing_newer(form: str) -> None:
     """A long list is delivered in slices; between two of them a newer one comes from the other process."""
--- a/tests/test_list_position.py
+++ b/tests/test_list_position.py
@@ -42,6 +42,21 @@
     assert newer.is_newer_than(older) and not older.is_newer_than(newer)
 
 
+@pytest.mark.parametrize(("own", "predecessor", "is_doubtful"), [
+    (told(4, 5.0, 5.1), told(5, 1.0, 2.0), True),
+    (told(5, 5.0, 5.1), told(5, 1.0, 2.0), False),
+    (told(6, 5.0, 5.1), told(5, 1.0, 2.0), False),
+    (told(4, 5.0, 5.1), told(5, 1.0, 6.0), False),  # the predecessor's may be the later one
+    (told(4, 5.0, 5.1), told(5, 1.0, 2.0, discovery=ELSEWHERE), False),
+    (told(4, 5.0, 5.1), configured(5), False),
+    (configured(4), told(5, 1.0, 2.0), False),
+])
+def test_a_later_answer_of_a_lower_generation_is_doubtful(
+    own: ListPosition, predecessor: ListPosition, is_doubtful: bool
+) -> None:
+    assert own.is_doubtful_after(predecessor) is is_doubtful
+
+
 def test_a_list_is_not_newer_than_itself() -> None:
     for position in (told(5, 10.0, 11.0), configured(5)):
         assert not position.is_newer_than(position)
@@ -51,6 +66,8 @@
     (told(2, 1.0, 2.0), configured(1), True),
     (told(2, 1.0, 2.0), configured(9), False),
     (told(2, 1.0, 2.0), told(2, 5.0, 5.1), False),  # discovery has answered the successor
+    (told(2, 1.0, 2.0), told(1, 5.0, 5.1), True),  # with a lower generation, which is to be confirmed
+    (told(2, 1.0, 2.0, highest=9), told(3, 5.0, 5.1), False),
     (told(9, 5.0, 6.0), told(8, 5.0, 5.1), True),
     (told(9, 5.0, 6.0, discovery=ELSEWHERE), configured(99), True),  # a configuration may be out of date
     (told(9, 5.0, 6.0, discovery=ELSEWHERE), told(1, 5.0, 5.1), False),
