Read the predecessor's list from its log where no copy of it is handed over

What callers saw: nothing yet; found by reading. Where the predecessor has no descriptor left for the file in memory with its state, it passed neither state nor list, and the successor went by the list of its configuration, which may be out of date. The state was read from its file; the list, which is in the log, was not.

The predecessor leaves the log to it in this case too.

The new test fails on the parent: the successor's list came from the configuration.

--- a/embersill/net/handover.py
+++ b/embersill/net/handover.py
@@ -148,6 +148,7 @@
         if len(descriptors) > 2:  # before the state, which is of the backends that are listed
             self.lists.take_over(descriptors[2])
         else:
+            self.lists.read_log()
             self.lists.note_no_list()
         state = read_memory_file(descriptors[1]) if len(descriptors) > 1 else {}
         self.driver.load_predecessor_state(self.add_clock_offset(state or self.read_state()))
@@ -288,12 +289,14 @@
         self.loop.call_later(CONNECTION_COUNT_INTERVAL, self.send_connection_counts)
 
     def copy_to_memory(self, state: Message) -> list[int]:
-        """Descriptors of the state and, if the successor takes it, of the list; none that can't be made."""
-        state_copy = create_memory_file(serialize_state(state))
-        if state_copy < 0:
-            return []
+        """Descriptors of the state and, if the successor takes it, of the list; it has files of both, too."""
         list_copy = self.lists.hand_over() if self.lists.send is not None else -1
-        return [state_copy] if list_copy < 0 else [state_copy, list_copy]
+        state_copy = create_memory_file(serialize_state(state))
+        if state_copy >= 0:
+            return [state_copy] if list_copy < 0 else [state_copy, list_copy]
+        if list_copy >= 0:
+            os.close(list_copy)  # it would be taken for the state
+        return []
 
     def move_connection(self, connection: ClientConnection) -> bool:
         """Passes a client connection to the successor; returns False if that is impossible now."""
--- a/tests/test_list_exchange.py
+++ b/tests/test_list_exchange.py
@@ -170,6 +170,22 @@
     upgrade_test(test, tmp_path, prepare)
 
 
+def test_a_state_that_cannot_be_copied_keeps_no_list_back(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A file in memory takes a descriptor, of which there may be none; the list is in the log as well."""
+    async def prepare(bed: Bed) -> None:
+        monkeypatch.setattr(handover, "create_memory_file", lambda text: -1)
+        await drain_and_go_silent(bed)
+
+    async def test(bed: Bed, first: Program, second: Program) -> None:
+        assert first.handover.handed_over and second.front.is_ready()
+        assert status_of(second, "b0") is BackendStatus.DRAINING
+        assert second.discovery.source is ListSource.LIST_LOG
+
+    upgrade_test(test, tmp_path, prepare)
+
+
 def test_a_predecessor_that_hangs_for_longer_than_is_waited_has_left_its_list(
     tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
 ) -> None:
