Write no answer of the laboratory to a connection that was reset meanwhile

test_real_gateways_break_no_rule_under_faults failed once of one run of the suite whose workers were stopped again and again for up to 0.25 s: "the handler is closed". A backend of the real mode waits for the network's delay before it writes its answer, and did not look whether its connection had been reset in that time; uvloop raises RuntimeError then. An answer that finds its connection closed is lost, as one that the network loses.

--- a/embersill/lab/real.py
+++ b/embersill/lab/real.py
@@ -166,8 +166,10 @@
         self.world.clock.later(gateway.network.delay(self.machine), lambda: self.machine.receive(job))
         closing = self.world.loop.create_task(reader.read(1))
         await asyncio.wait({served, closing}, return_when=asyncio.FIRST_COMPLETED)
-        if served.done() and not closing.done() and not gateway.network.loses_answer():
+        is_sent = served.done() and not closing.done() and not gateway.network.loses_answer()
+        if is_sent:
             await asyncio.sleep(gateway.network.delay(self.machine))
+        if is_sent and not writer.is_closing():
             body = b"served " + message[1]["x-call-id"].encode()
             writer.write(
                 response_bytes(200, body) if served.result() else response_bytes(503, b"", "X-Rejected: 1"))
--- a/tests/test_lab_real.py
+++ b/tests/test_lab_real.py
@@ -51,6 +51,16 @@
     assert len(list(tmp_path.glob("*.log"))) == 3  # two gateways, one of them restarted
 
 
+def test_a_connection_that_is_reset_while_an_answer_is_on_its_way_is_no_error(tmp_path: pathlib.Path) -> None:
+    scenario = real_scenario(faults=[
+        {"kind": "reset", "of": "backends", "part": 1.0, "at": 0.5 * n, "lasts": 0.1} for n in range(1, 8)])
+    scenario["net"] = {"same": 0.05, "cross": 0.05}  # seconds, in which answers are on their way
+    for request_class in scenario["classes"]:
+        request_class["deadline"] = 3.0
+    report = real.play(build_scenario(scenario), 1, tmp_path, None)
+    assert sum(report["ends"].values()) == report["requests"] > 100
+
+
 def reported_rules(report: dict[str, Any]) -> set[str]:
     return {breach["rule"] for breach in report["first_breaches"]}
 
